--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,827 @@
+package control
+
+// The decisions. The interface (settings, events, actions) is in api.go.
+//
+// The file follows a request's life: tuned values, state, events in, worth,
+// placement, emulation and admission, departure, outcomes, final answers, the
+// guards of the rules, the measured rate, the window, the node list.
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"sort"
+	"time"
+)
+
+// The tuned values. Times and sizes are parts of what the settings say or of
+// what is observed, so that they fit any deployment.
+const (
+	rateMemory   = 10 * time.Second // minRead is a mean over this long
+	windowStart  = 4.0              // attempts out at a node, at first
+	windowTop    = 16.0             // the fixed ceiling
+	windowFloor  = 1.0              // the trickle: one attempt may always be out
+	aimForNode   = 0.6              // part of the aim that an attempt may take before the window halves
+	rttGain      = 0.15             // weight of a new round trip in the mean
+	usageSpan    = time.Second      // worth is counted by the second
+	silentAfter  = 3.0              // round trips (and an aim) without any answer: suspect
+	coldMargin   = 0.8              // part of the cold budget that is used
+	askEarly     = 0.4              // part of the list's longest silence after which it is asked
+	beatsPerSlot = 4                // looks at held requests in a slot
+)
+
+// Controller decides for one host.
+type Controller struct {
+	set     Settings
+	classes map[string]*class
+	plans   map[string]*Plan
+	rng     *rand.Rand
+	now     time.Duration
+	actions []Action
+
+	slot     time.Duration
+	reqs     map[string]*request
+	nodes    map[string]*node
+	order    []*node // by id
+	volumes  map[string]*volume
+	items    map[string]*itemQueue
+	taken    []stamp // for the attempt budget
+	extra    []stamp
+	seq      int64
+	token    int64
+	timerAt  time.Duration
+	timerSet bool
+	started  bool
+
+	subscribed bool
+	askedAt    time.Duration
+}
+
+// New checks the settings and returns a controller that has seen nothing yet.
+func New(set Settings, seed int64) (*Controller, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	c := &Controller{
+		set: set, rng: rand.New(rand.NewSource(seed)),
+		classes: map[string]*class{}, plans: map[string]*Plan{}, reqs: map[string]*request{},
+		nodes: map[string]*node{}, volumes: map[string]*volume{}, items: map[string]*itemQueue{},
+	}
+	c.set.Hosts = max(1, set.Hosts)
+	if c.set.MeanUnits == 0 {
+		c.set.MeanUnits = 1
+	}
+	c.slot = 500 * time.Millisecond
+	for _, cl := range set.Classes {
+		c.classes[cl.Name] = &class{Class: cl}
+		if cl.Aim > 0 {
+			c.slot = max(10*time.Millisecond, min(c.slot, cl.Aim))
+		}
+	}
+	for i := range set.Plans {
+		c.plans[set.Plans[i].Name] = &set.Plans[i]
+	}
+	return c, nil
+}
+
+// Step takes the events of one moment, in order of arrival, and returns the
+// actions for it. Outcomes and news are all taken in before anything is
+// admitted or sent, so nothing leaves for a request that one of them ended.
+func (c *Controller) Step(now time.Duration, events []Event) []Action {
+	c.now, c.actions = now, nil
+	if !c.started {
+		c.started = true
+		c.ask()
+	}
+	var arrivals, again []*request
+	for _, e := range events {
+		switch e := e.(type) {
+		case Request:
+			if r := c.take(e); r != nil {
+				arrivals = append(arrivals, r)
+			}
+		case Outcome:
+			if r := c.outcome(e); r != nil {
+				again = append(again, r)
+			}
+		case ClientGone:
+			if r := c.reqs[e.ID]; r != nil {
+				c.end(r)
+			}
+		case AnswerStarted:
+			if r := c.reqs[e.ID]; r != nil {
+				r.started = true
+			}
+		case TimerFired:
+			if e.Token == c.token {
+				c.timerSet = false
+			}
+		case NodeList:
+			c.list(e)
+		}
+	}
+	for _, r := range append(again, arrivals...) {
+		if !r.over {
+			c.place(r)
+		}
+	}
+	c.depart()
+	c.keepAsking()
+	return c.actions
+}
+
+func (c *Controller) act(a Action) { c.actions = append(c.actions, a) }
+
+// take books a new request. A client's retry has used up part of the aim: its
+// patience is shorter than a first try's by the time that has passed.
+func (c *Controller) take(e Request) *request {
+	cl := c.classes[e.Class]
+	if cl == nil || c.reqs[e.ID] != nil {
+		if cl == nil {
+			c.act(Fail{e.ID})
+		}
+		return nil
+	}
+	if e.Units <= 0 {
+		e.Units = c.set.MeanUnits
+	}
+	cl.patience = max(cl.patience, e.Expires)
+	spent := cl.patience - e.Expires
+	c.seq++
+	r := &request{Request: e, class: cl, seq: c.seq}
+	r.deadline, r.aimAt = c.now+e.Expires, c.now+cl.Aim-spent
+	if cl.Deadline > 0 {
+		r.deadline = min(r.deadline, c.now+cl.Deadline)
+	}
+	r.aimAt = min(r.aimAt, r.deadline)
+	c.reqs[e.ID] = r
+	if c.set.ExtraSpan > 0 {
+		c.taken = append(c.taken, stamp{c.now, 1})
+	}
+	r.volume = c.volumeOf(e)
+	if cl.InOrder && e.Item != "" {
+		q := c.items[e.Item]
+		if q == nil {
+			q = &itemQueue{}
+			c.items[e.Item] = q
+		}
+		q.turn = append(q.turn, r)
+		r.order = q
+	}
+	return r
+}
+
+// ---- worth ----
+
+// volumeOf returns the account of the request's volume. The host's part of
+// reserve and limit is one in the hosts of the volume. The limit's store starts
+// at its slack only: a host that was killed may just have spent its part, and
+// cannot know it.
+func (c *Controller) volumeOf(e Request) *volume {
+	v := c.volumes[e.Volume]
+	if v != nil {
+		return v
+	}
+	v = &volume{plan: c.plans[e.Plan], hosts: float64(max(1, e.Hosts))}
+	if v.plan == nil {
+		v.plan = &Plan{Name: e.Plan, Weight: 1}
+	}
+	v.part = 1 / v.hosts
+	p := v.plan
+	v.limit = bucket{p.LimitSlack / v.hosts, p.LimitRate / v.hosts, p.LimitBurst / v.hosts, c.now}
+	v.setPart(v.part, c.set.MostUnits)
+	v.reserve.level, v.reserve.at = v.reserve.top, c.now
+	c.volumes[e.Volume] = v
+	return v
+}
+
+func (v *volume) setPart(part, most float64) {
+	v.part = part
+	v.reserve.rate = v.plan.Reserve * part
+	v.reserve.top = 0
+	if v.plan.Reserve > 0 {
+		v.reserve.top = v.reserve.rate*usageSpan.Seconds() + most
+	}
+}
+
+// price sets what the request is worth if answered within its aim at n: class
+// worth x plan factor x units, in full out of the volume's reserve, else at
+// what the share or the rest earn.
+func (c *Controller) price(r *request, n *node) {
+	v := r.volume
+	r.worth = r.class.Worth * r.Units / c.set.MeanUnits
+	if v.plan.Price > 0 {
+		r.worth *= v.plan.Price
+	}
+	if c.set.ShareWorth == 0 && c.set.SpareWorth == 0 {
+		return
+	}
+	if v.reserve.fill(c.now) >= r.Units {
+		r.reserved = true
+		v.reserve.level -= r.Units
+		n.reserved.add(c.now, r.Units)
+		return
+	}
+	u := n.usageOf(v)
+	u.asked.add(c.now, r.Units)
+	took := u.took.add(c.now, 0)
+	r.shared = u
+	if took+r.Units/2 <= c.shareLevel(n)*v.weight() {
+		r.worth *= c.set.ShareWorth
+	} else {
+		r.worth *= c.set.SpareWorth
+	}
+	u.took.add(c.now, r.Units)
+}
+
+// unprice gives back what price took for a request that was turned away unsent.
+func (c *Controller) unprice(r *request, n *node) {
+	if r.reserved {
+		r.volume.reserve.level += r.Units
+		n.reserved.add(c.now, -r.Units)
+		r.reserved = false
+	}
+	if r.shared != nil {
+		r.shared.took.add(c.now, -r.Units)
+		r.shared = nil
+	}
+}
+
+func (v *volume) weight() float64 { return max(v.plan.Weight, 0.01) / v.hosts }
+
+func (n *node) usageOf(v *volume) *usage {
+	for _, u := range n.usages {
+		if u.volume == v {
+			return u
+		}
+	}
+	u := &usage{volume: v}
+	n.usages = append(n.usages, u)
+	return u
+}
+
+// shareLevel is the units a second for each unit of weight that the volumes
+// asking at the node can get of what this host gets there beyond the reserves.
+func (c *Controller) shareLevel(n *node) float64 {
+	room := c.rate(n)*1e9 - n.reserved.add(c.now, 0)
+	weights := 0.0
+	for _, u := range n.usages {
+		u.asked.add(c.now, 0)
+		if u.asked.sum > 0.01 {
+			weights += u.volume.weight()
+		}
+	}
+	level := 0.0
+	for range 4 { // a few rounds of filling come close enough
+		if weights <= 0 || room <= 0 {
+			break
+		}
+		level = room / weights
+		restRoom, restWeights := c.rate(n)*1e9-n.reserved.sum, 0.0
+		for _, u := range n.usages {
+			if u.asked.sum > level*u.volume.weight() {
+				restWeights += u.volume.weight()
+			} else {
+				restRoom -= u.asked.sum
+			}
+		}
+		if restWeights == 0 {
+			return math.Inf(1)
+		}
+		room, weights = restRoom, restWeights
+	}
+	return level
+}
+
+// ---- placement ----
+
+// place finds the node for a request and holds it there if it is admitted.
+func (c *Controller) place(r *request) {
+	n := c.target(r)
+	if n == nil || !c.mayTry(r) {
+		c.giveUp(r)
+		return
+	}
+	c.admit(r, n)
+}
+
+// target is the node that the request goes to: the one that holds its shard or,
+// for a new object, where the emulation ends earliest. A request that may have
+// run stays in its group.
+func (c *Controller) target(r *request) *node {
+	var best *node
+	var bestEnd time.Duration
+	for _, n := range c.order {
+		if !n.usable() || r.Shard >= 0 && n.Shard != r.Shard || !c.inGroup(r, n) {
+			continue
+		}
+		end := c.emulatedEnd(n, r.Units) + time.Duration(n.rtt)
+		if n.silent || c.cold(n) {
+			end += r.class.Deadline // only when there is nothing better
+		}
+		if best == nil || end < bestEnd {
+			best, bestEnd = n, end
+		}
+	}
+	return best
+}
+
+// ---- emulation and admission ----
+
+// freeAt is when the node, reading minRead a slot, is done with what is out.
+func (c *Controller) freeAt(n *node) time.Duration {
+	units := 0.0
+	for _, a := range n.out {
+		units += a.req.Units
+	}
+	if len(n.out) > 0 {
+		since := max(n.lastAnswer, n.out[0].sentAt)
+		units -= min(n.out[0].req.Units, c.rate(n)*float64(c.now-since))
+	}
+	return c.now + time.Duration(units/c.rate(n))
+}
+
+// emulatedEnd is when further units would end behind all that is held and out.
+func (c *Controller) emulatedEnd(n *node, units float64) time.Duration {
+	for _, r := range n.held {
+		units += r.Units
+	}
+	return c.freeAt(n) + time.Duration(units/c.rate(n))
+}
+
+// payoff is what a request earns if it ends then. One that misses its deadline
+// has cost the node its work for nothing.
+func (r *request) payoff(end time.Duration) float64 {
+	switch {
+	case end <= r.aimAt:
+		return r.worth
+	case end <= r.deadline:
+		return r.worth * r.class.LateWorth
+	}
+	return -r.worth - 1e-9
+}
+
+// value emulates the node over out and held requests, earliest deadline first,
+// leaving one out, and adds up what they earn.
+func (c *Controller) value(n *node, without *request) float64 {
+	at, rate, sum := c.freeAt(n), c.rate(n), 0.0
+	for _, r := range n.held {
+		if r != without {
+			at += time.Duration(r.Units / rate)
+			sum += r.payoff(at)
+		}
+	}
+	return sum
+}
+
+// admit holds the request at the node and lets the emulation decide: as long
+// as a deadline is missed, or leaving one request out earns more than serving
+// it, the one whose absence earns most is refused: the newcomer or a held
+// request of lower worth.
+func (c *Controller) admit(r *request, n *node) {
+	c.price(r, n)
+	r.node, r.held = n, true
+	i := sort.Search(len(n.held), func(i int) bool { return n.held[i].deadline > r.deadline })
+	n.held = slices.Insert(n.held, i, r)
+	c.shed(n)
+}
+
+// shed refuses held requests that cost more than they bring. A node with a free
+// place in the window and nothing before it takes one request in any case:
+// the trickle by which it can be judged again.
+func (c *Controller) shed(n *node) {
+	for len(n.held) > 0 {
+		if len(n.held) == 1 && float64(len(n.out)) < n.window && !n.silent {
+			return
+		}
+		all := c.value(n, nil)
+		var worst *request
+		gain := 1e-9
+		for _, r := range n.held {
+			if g := c.value(n, r) - all; g > gain && !r.over {
+				worst, gain = r, g
+			}
+		}
+		if worst == nil {
+			return
+		}
+		c.giveUp(worst)
+	}
+}
+
+// ---- departure ----
+
+// depart sends held requests in deadline order as far as windows allow.
+func (c *Controller) depart() {
+	wake := time.Duration(math.MaxInt64)
+	for _, n := range c.order {
+		c.watch(n)
+		c.expire(n)
+		c.shed(n)
+		c.fill(n)
+		n.meter.saturated(c.now, len(n.held) > 0)
+		if len(n.held) > 0 {
+			wake = min(wake, c.now+c.slot/beatsPerSlot)
+			for _, r := range n.held {
+				wake = min(wake, r.deadline)
+			}
+		}
+	}
+	if wake < math.MaxInt64 {
+		c.wakeAt(wake)
+	}
+}
+
+// expire gives up on held requests whose time is up.
+func (c *Controller) expire(n *node) {
+	for _, r := range slices.Clone(n.held) {
+		if r.deadline <= c.now {
+			c.giveUp(r)
+		}
+	}
+}
+
+// fill sends what the window has room for.
+func (c *Controller) fill(n *node) {
+	for i := 0; i < len(n.held) && float64(len(n.out)) < n.window; {
+		r := n.held[i]
+		if !c.turn(r) || !c.limitRoom(r) {
+			i++
+			continue
+		}
+		if !c.coldRoom(n, r.Units) {
+			return
+		}
+		n.held = slices.Delete(n.held, i, i+1)
+		r.held = false
+		if !c.mayTry(r) {
+			c.giveUp(r)
+			continue
+		}
+		c.send(r, n)
+	}
+}
+
+// send is the only place from which an attempt leaves.
+func (c *Controller) send(r *request, n *node) {
+	a := &attempt{req: r, node: n, sentAt: c.now, open: true}
+	if len(r.attempts) > 0 && c.set.ExtraSpan > 0 {
+		c.extra = append(c.extra, stamp{c.now, 1})
+	}
+	if len(r.attempts) == 0 && r.volume.plan.LimitRate > 0 {
+		r.volume.limit.level -= r.Units
+	}
+	if c.cold(n) {
+		n.sent = append(n.sent, stamp{c.now, r.Units})
+	}
+	r.attempts = append(r.attempts, a)
+	n.out = append(n.out, a)
+	n.lastItem = r.Item
+	c.act(Send{ID: r.ID, Node: n.ID})
+}
+
+// ---- outcomes and final answers ----
+
+// outcome books the end of an attempt and returns the request if it is still
+// owed an answer and may be tried again.
+func (c *Controller) outcome(e Outcome) *request {
+	r := c.reqs[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].open {
+		return nil
+	}
+	a := r.attempts[e.Attempt]
+	a.open = false
+	n := a.node
+	n.out = slices.DeleteFunc(n.out, func(x *attempt) bool { return x == a })
+	if !e.Result.NeverRan() && e.Result != Done && r.doubt == nil {
+		r.doubt = a
+	}
+	if e.Result.Doubtful() && r.order != nil {
+		r.order.restUntil = max(r.order.restUntil, c.now+c.set.OrderRest)
+	}
+	c.learn(n, a, e)
+	if e.Closed {
+		c.end(r)
+	}
+	c.forget(r)
+	if r.over || r.started || c.open(r) {
+		return nil
+	}
+	if r.deadline <= c.now || e.Result == Done {
+		c.giveUp(r)
+		return nil
+	}
+	return r
+}
+
+func (c *Controller) open(r *request) bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.open })
+}
+
+// end marks the request as over: nothing more is sent for it.
+func (c *Controller) end(r *request) {
+	if r.held {
+		r.held = false
+		r.node.held = slices.DeleteFunc(r.node.held, func(x *request) bool { return x == r })
+		if len(r.attempts) == 0 {
+			c.unprice(r, r.node)
+		}
+	}
+	r.over = true
+	c.forget(r)
+}
+
+// forget drops a request that is over and has nothing out, and passes its turn on.
+func (c *Controller) forget(r *request) {
+	if !r.over || c.open(r) {
+		return
+	}
+	delete(c.reqs, r.ID)
+	if r.order != nil {
+		r.order.turn = slices.DeleteFunc(r.order.turn, func(x *request) bool { return x == r })
+		if len(r.order.turn) == 0 && r.order.restUntil <= c.now {
+			delete(c.items, r.Item)
+		}
+	}
+}
+
+// giveUp gives the final answer at once: a refusal where a retry is harmless,
+// else a failure. It is the only place where the controller answers.
+func (c *Controller) giveUp(r *request) {
+	if r.over {
+		return
+	}
+	n := r.node
+	c.end(r)
+	if !c.harmless(r) {
+		c.act(Fail{r.ID})
+		return
+	}
+	after := c.slot
+	if n != nil {
+		after = c.emulatedEnd(n, r.Units) - c.now - r.class.Aim
+	}
+	after = max(after, c.slot/beatsPerSlot)
+	if c.set.MaxRetryAfter > 0 {
+		after = min(after, c.set.MaxRetryAfter)
+	}
+	c.act(Refuse{r.ID, after})
+}
+
+// ---- the guards of the rules ----
+
+// harmless: no effect happens twice if the client tries again.
+func (c *Controller) harmless(r *request) bool {
+	if r.class.Effect == Safe || r.doubt == nil && !c.open(r) {
+		return true
+	}
+	return r.class.Effect == Keyed && r.class.Group == GroupAll
+}
+
+// mayTry: a further attempt neither repeats an effect nor passes a budget.
+func (c *Controller) mayTry(r *request) bool {
+	if r.over || r.started || c.open(r) || c.set.MaxAttempts > 0 && len(r.attempts) >= c.set.MaxAttempts {
+		return false
+	}
+	if r.doubt != nil && r.class.Effect != Safe &&
+		(r.class.Effect == Unsafe || c.now >= r.doubt.sentAt+r.class.Window) {
+		return false
+	}
+	return len(r.attempts) == 0 || c.budgetRoom()
+}
+
+// inGroup: a keyed request that may have run stays where its repeat is dropped.
+func (c *Controller) inGroup(r *request, n *node) bool {
+	if r.doubt == nil || r.class.Effect == Safe {
+		return true
+	}
+	switch d := r.doubt.node; r.class.Group {
+	case GroupAll:
+		return true
+	case GroupZone:
+		return n.Zone == d.Zone
+	default:
+		return n.Shard == d.Shard
+	}
+}
+
+// budgetRoom: one more further attempt stays within the stated budget.
+func (c *Controller) budgetRoom() bool {
+	if c.set.ExtraSpan == 0 {
+		return true
+	}
+	c.taken = slices.DeleteFunc(c.taken, func(s stamp) bool { return c.now-s.at >= c.set.ExtraSpan })
+	c.extra = slices.DeleteFunc(c.extra, func(s stamp) bool { return c.now-s.at > c.set.ExtraSpan })
+	return float64(len(c.extra)+1) <= c.set.ExtraFree+c.set.ExtraShare*float64(len(c.taken))
+}
+
+// turn: a request whose class keeps order waits for the earlier ones of its key.
+func (c *Controller) turn(r *request) bool {
+	q := r.order
+	return q == nil || q.turn[0] == r && (len(r.attempts) > 0 || q.restUntil <= c.now)
+}
+
+// limitRoom: the volume's limit has the units, out of this host's part of it.
+func (c *Controller) limitRoom(r *request) bool {
+	v := r.volume
+	return v.plan.LimitRate <= 0 || len(r.attempts) > 0 || v.limit.fill(c.now) >= r.Units
+}
+
+// cold says that the node started less than the stated time ago.
+func (c *Controller) cold(n *node) bool {
+	return c.set.ColdFor > 0 && n.StartedAt != 0 && c.now < n.StartedAt+c.set.ColdFor
+}
+
+// coldBudget is this host's part of what a cold node bears within FallSpan: of
+// the units it bears in any case or, if that is more, of the stated multiple of
+// its present capacity, reckoned from the rate that this host gets at nodes.
+func (c *Controller) coldBudget(n *node) float64 {
+	warm := max(0, float64(c.now-n.StartedAt)) / float64(c.set.ColdFor)
+	share := c.set.ColdCapacity + (1-c.set.ColdCapacity)*min(1, warm)
+	able := c.set.FallMultiple * share * c.meanRate(n) * float64(c.set.FallSpan)
+	return coldMargin * max(c.set.ColdBears, able) / float64(c.set.Hosts)
+}
+
+// coldRoom: the units fit in the budget of a cold node.
+func (c *Controller) coldRoom(n *node, units float64) bool {
+	if !c.cold(n) {
+		return true
+	}
+	sum := units
+	n.sent = slices.DeleteFunc(n.sent, func(s stamp) bool { return c.now-s.at > c.set.FallSpan })
+	for _, s := range n.sent {
+		sum += s.amount
+	}
+	return sum <= c.coldBudget(n)
+}
+
+// ---- the measured rate ----
+
+// rate is minRead as units a nanosecond: measured, else the other nodes' mean,
+// else a windowful of mean requests a slot. Never under one request a deadline.
+func (c *Controller) rate(n *node) float64 {
+	r, ok := c.measured(n)
+	if !ok {
+		r = c.meanRate(n)
+	}
+	if c.cold(n) && c.set.FallSpan > 0 {
+		r = min(r, c.coldBudget(n)/float64(c.set.FallSpan))
+	}
+	return max(r, c.set.MeanUnits/float64(4*c.slot))
+}
+
+func (c *Controller) measured(n *node) (float64, bool) {
+	units, span := 0.0, 0.0
+	for _, s := range n.meter.slots {
+		units, span = units+s.units, span+s.span
+	}
+	return units / max(span, 1), span >= float64(c.slot)
+}
+
+func (c *Controller) meanRate(but *node) float64 {
+	sum, k := 0.0, 0.0
+	for _, n := range c.order {
+		if r, ok := c.measured(n); ok && n != but {
+			sum, k = sum+r, k+1
+		}
+	}
+	if k == 0 {
+		return windowStart * c.set.MeanUnits / float64(c.slot)
+	}
+	return sum / k
+}
+
+// ---- round trips and the window ----
+
+// learn takes what an outcome tells of its node. Only answers count as served:
+// errors that come fast are no speed.
+func (c *Controller) learn(n *node, a *attempt, e Outcome) {
+	r := a.req
+	switch e.Result {
+	case Done:
+		n.lastAnswer, n.silent = c.now, false
+		if n.meter.on {
+			n.meter.last(c.now, c.slot, rateMemory).units += r.Units
+		}
+		if n.rtt == 0 {
+			n.rtt = float64(e.Elapsed)
+		}
+		n.rtt += rttGain * (float64(e.Elapsed) - n.rtt)
+		c.told(r.volume, r.Units, e.VolumeUse)
+		if float64(e.Elapsed) > aimForNode*float64(r.class.Aim) {
+			c.halve(n, a)
+		} else if float64(len(n.out)+1) >= n.window/2 {
+			n.window = min(windowTop, n.window+1/n.window)
+		}
+	case Error, Busy, TimedOut, Reset, Unreachable:
+		c.halve(n, a)
+	}
+}
+
+// halve cuts the window, once for all that was out at the time.
+func (c *Controller) halve(n *node, a *attempt) {
+	if a.sentAt >= n.halvedAt {
+		n.window = max(windowFloor, n.window/2)
+		n.halvedAt = c.now
+	}
+}
+
+// told corrects this host's part of a volume by what all hosts served for it.
+func (c *Controller) told(v *volume, units float64, use int) {
+	own := v.served.add(c.now, units) / usageSpan.Seconds()
+	if use > 1 && v.plan.Nominal > 0 {
+		all := float64(use-1) / 100 * v.plan.Nominal
+		v.setPart(v.part+0.1*(min(1, max(own/all, 0.5/v.hosts))-v.part), c.set.MostUnits)
+	}
+}
+
+// watch marks a node from which answers are overdue by what it used to take.
+func (c *Controller) watch(n *node) {
+	if len(n.out) == 0 {
+		return
+	}
+	since := max(n.lastAnswer, n.out[0].sentAt)
+	n.silent = float64(c.now-since) > silentAfter*n.rtt+float64(c.slot)
+}
+
+// ---- the node list ----
+
+// list applies news of the node list. Held requests at a node that may take
+// nothing new are placed again.
+func (c *Controller) list(e NodeList) {
+	if e.Kind == ListFailed {
+		c.subscribed = false
+		return
+	}
+	if e.Kind != ListCached {
+		c.subscribed = true
+	} else {
+		c.askedAt = c.now
+	}
+	named := map[string]bool{}
+	for _, entry := range e.Nodes {
+		named[entry.ID] = true
+		c.entry(entry)
+	}
+	var moved []*request
+	for _, n := range c.order {
+		if e.Kind != ListDelta && !named[n.ID] {
+			n.listed = false
+		}
+		if !n.usable() {
+			moved = append(moved, n.held...)
+			for _, r := range n.held {
+				r.held = false
+			}
+			n.held = nil
+		}
+	}
+	for _, r := range moved {
+		c.place(r)
+	}
+}
+
+// entry applies one entry. A node that restarted is a new node to this host.
+func (c *Controller) entry(e Node) {
+	n := c.nodes[e.ID]
+	if n == nil {
+		n = &node{window: windowStart}
+		c.nodes[e.ID] = n
+		i := sort.Search(len(c.order), func(i int) bool { return c.order[i].ID > e.ID })
+		c.order = slices.Insert(c.order, i, n)
+	} else if e.StartedAt > n.StartedAt {
+		n.window, n.meter, n.rtt, n.silent = windowStart, meter{}, 0, false
+	}
+	n.Node, n.listed = e, e.State != Gone
+}
+
+// ask subscribes to the node list where it comes only on request.
+func (c *Controller) ask() {
+	if c.set.ListOnRequest {
+		c.askedAt = c.now
+		c.act(Subscribe{})
+	}
+}
+
+// keepAsking asks again long before the stated time is up while not subscribed.
+func (c *Controller) keepAsking() {
+	if !c.set.ListOnRequest || c.subscribed {
+		return
+	}
+	pause := time.Duration(askEarly * float64(c.set.AskWithin))
+	if c.now >= c.askedAt+pause {
+		c.ask()
+	}
+	c.wakeAt(c.askedAt + pause)
+}
+
+// wakeAt makes sure that a timer fires at the time or before.
+func (c *Controller) wakeAt(at time.Duration) {
+	at = max(at, c.now+time.Millisecond)
+	if c.timerSet && c.timerAt <= at {
+		return
+	}
+	c.token++
+	c.timerAt, c.timerSet = at, true
+	c.act(SetTimer{at, c.token})
+}
--- /dev/null
+++ b/control/module_test.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+// The module is printed for the on-call folder: its size is bounded.
+func TestModuleFitsTheFolder(t *testing.T) {
+	text, err := os.ReadFile("control.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(line) != "" {
+			lines++
+		}
+		if n := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", "    ")); n > 110 {
+			t.Errorf("control.go:%d: %d characters, at most 110", i+1, n)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("control.go has %d non-blank lines, at most 850", lines)
+	}
+	if !strings.Contains(string(text)[:400], "api.go") {
+		t.Error("the head of control.go does not name the interface file api.go")
+	}
+}
--- /dev/null
+++ b/internal/wire/setup.go
@@ -0,0 +1,124 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"eiderhold/control"
+)
+
+// setup is the part of the settings message that the library has a use for.
+// Unknown keys are skipped.
+type setup struct {
+	Balancers int `json:"balancers"`
+	Classes   []struct {
+		Name       string  `json:"name"`
+		Effect     string  `json:"effect"`
+		DedupScope string  `json:"dedup_scope"`
+		WindowMS   float64 `json:"window_ms"`
+		SloMS      float64 `json:"slo_ms"`
+		DeadlineMS float64 `json:"deadline_ms"`
+		Credit     float64 `json:"credit"`
+		LateWorth  float64 `json:"late_worth"`
+		InOrder    bool    `json:"in_order"`
+	} `json:"classes"`
+	Policies []struct {
+		Name      string  `json:"name"`
+		Nominal   float64 `json:"nominal"`
+		Pays      float64 `json:"pays"`
+		Reserve   float64 `json:"reserve"`
+		Shares    float64 `json:"shares"`
+		Cap       float64 `json:"cap"`
+		Burst     float64 `json:"burst"`
+		Tolerance float64 `json:"tolerance"`
+	} `json:"policies"`
+	Discovery  string `json:"discovery"`
+	FamilyInfo struct {
+		ColdBears   float64 `json:"cold_bears"`
+		IdleWorth   float64 `json:"idle_worth"`
+		MostUnits   float64 `json:"most_units"`
+		SlotsTotal  int     `json:"slots_total"`
+		UnitMean    float64 `json:"unit_mean"`
+		UsePeriodMS float64 `json:"use_period_ms"`
+		WithinShare float64 `json:"within_share"`
+		Writes      []bool  `json:"writes"`
+	} `json:"family_info"`
+	Limits struct {
+		Cancelling      bool    `json:"cancelling"`
+		MaxAttempts     int     `json:"max_attempts"`
+		MaxRetryAfterMS float64 `json:"max_retry_after_ms"`
+		Probes          bool    `json:"probes"`
+		SecondCopies    bool    `json:"second_copies"`
+	} `json:"limits"`
+	Safety struct {
+		BudgetFree         float64 `json:"budget_free"`
+		ColdMS             float64 `json:"cold_ms"`
+		DrainGraceMS       float64 `json:"drain_grace_ms"`
+		FallMS             float64 `json:"fall_ms"`
+		MustAskInMS        float64 `json:"must_ask_in_ms"`
+		OverloadFactor     float64 `json:"overload_factor"`
+		ResendRatio        float64 `json:"resend_ratio"`
+		ResendSpanMS       float64 `json:"resend_span_ms"`
+		SettleAfterDoubtMS float64 `json:"settle_after_doubt_ms"`
+		StartCapacity      float64 `json:"start_capacity"`
+	} `json:"safety"`
+	Tariffs struct {
+		Probe float64 `json:"probe"`
+	} `json:"tariffs"`
+	Telemetry struct {
+		Fields []string `json:"fields"`
+	} `json:"telemetry"`
+}
+
+var effects = map[string]control.Effect{
+	"retryable": control.Safe, "dedup": control.Keyed, "fragile": control.Unsafe,
+}
+
+var groups = map[string]control.Group{
+	"": control.GroupAll, "all": control.GroupAll, "zone": control.GroupZone, "cell": control.GroupCell,
+}
+
+// Settings translates the settings of a start message. Whether they make sense
+// is for the controller's constructor to say.
+func Settings(text []byte) (control.Settings, error) {
+	var s setup
+	if err := json.Unmarshal(text, &s); err != nil {
+		return control.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	set := control.Settings{
+		Hosts:     s.Balancers,
+		MeanUnits: s.FamilyInfo.UnitMean, MostUnits: s.FamilyInfo.MostUnits,
+		ShareWorth: s.FamilyInfo.WithinShare, SpareWorth: s.FamilyInfo.IdleWorth,
+		MeterSpan: duration(s.FamilyInfo.UsePeriodMS), Shards: s.FamilyInfo.SlotsTotal,
+		MaxAttempts: s.Limits.MaxAttempts, MaxRetryAfter: duration(s.Limits.MaxRetryAfterMS),
+		SecondCopies: s.Limits.SecondCopies, Cancelling: s.Limits.Cancelling,
+		Probing: s.Limits.Probes, ProbePrice: s.Tariffs.Probe,
+		DrainGrace: duration(s.Safety.DrainGraceMS),
+		ColdFor:    duration(s.Safety.ColdMS), ColdCapacity: s.Safety.StartCapacity,
+		FallMultiple: s.Safety.OverloadFactor, FallSpan: duration(s.Safety.FallMS),
+		ColdBears: s.FamilyInfo.ColdBears,
+		ExtraFree: s.Safety.BudgetFree, ExtraShare: s.Safety.ResendRatio,
+		ExtraSpan: duration(s.Safety.ResendSpanMS), OrderRest: duration(s.Safety.SettleAfterDoubtMS),
+		ListOnRequest: s.Discovery == "on_request", AskWithin: duration(s.Safety.MustAskInMS),
+		LoadFields: s.Telemetry.Fields,
+	}
+	for i, c := range s.Classes {
+		effect, ok := effects[c.Effect]
+		if !ok {
+			return set, fmt.Errorf("settings: classes[%d].effect: unknown kind %q", i, c.Effect)
+		}
+		group, ok := groups[c.DedupScope]
+		if !ok {
+			return set, fmt.Errorf("settings: classes[%d].dedup_scope: unknown kind %q", i, c.DedupScope)
+		}
+		set.Classes = append(set.Classes, control.Class{Name: c.Name, Effect: effect, Group: group,
+			Window: duration(c.WindowMS), Aim: duration(c.SloMS), Deadline: duration(c.DeadlineMS),
+			Worth: c.Credit, LateWorth: c.LateWorth, InOrder: c.InOrder,
+			Writes: i < len(s.FamilyInfo.Writes) && s.FamilyInfo.Writes[i]})
+	}
+	for _, p := range s.Policies {
+		set.Plans = append(set.Plans, control.Plan{Name: p.Name, Nominal: p.Nominal, Price: p.Pays,
+			Reserve: p.Reserve, Weight: p.Shares, LimitRate: p.Cap, LimitBurst: p.Burst, LimitSlack: p.Tolerance})
+	}
+	return set, nil
+}
