--- a/control/control.go
+++ b/control/control.go
@@ -7,6 +7,7 @@
 // guards of the rules, the measured rate, the window, the node list.
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
 	"slices"
@@ -364,22 +365,47 @@
 // value emulates the node over out and held requests, earliest deadline first,
 // leaving one out, and adds up what they earn.
 func (c *Controller) value(n *node, without *request) float64 {
-	at, rate, sum := c.freeAt(n), c.rate(n), 0.0
+	at, rate, bid, sum := c.freeAt(n), c.rate(n), c.bid(n), 0.0
 	for _, r := range n.held {
 		if r != without {
 			at += time.Duration(r.Units / rate)
-			sum += r.payoff(at)
+			sum += r.payoff(at) - bid*r.Units
 		}
 	}
 	return sum
 }
 
+// bid is the worth of a unit of the node's time: what the least of the requests
+// that minRead has room for brings, of those that came in the last second. It is
+// 0 unless more came than fits. Guards against queues of requests that are late
+// already, served before those that still could be in time; it does so whatever
+// made the node short. Harm: if minRead is measured too low, too much is refused;
+// the trickle and a free window are therefore not subject to it.
+func (c *Controller) bid(n *node) float64 {
+	if c.now < n.bidAt+c.slot/beatsPerSlot {
+		return n.bid
+	}
+	n.bidAt, n.bid = c.now, 0
+	n.asked = slices.DeleteFunc(n.asked, func(a ask) bool { return c.now-a.at > usageSpan })
+	byWorth := slices.Clone(n.asked)
+	slices.SortStableFunc(byWorth, func(a, b ask) int { return cmp.Compare(b.worth, a.worth) })
+	room := c.rate(n) * float64(usageSpan)
+	for _, a := range byWorth {
+		if room -= a.units; room < 0 {
+			n.bid = a.worth
+			break
+		}
+	}
+	return n.bid
+}
+
 // admit holds the request at the node and lets the emulation decide: as long
 // as a deadline is missed, or leaving one request out earns more than serving
 // it, the one whose absence earns most is refused: the newcomer or a held
 // request of lower worth.
 func (c *Controller) admit(r *request, n *node) {
 	c.price(r, n)
+	n.asked = append(n.asked, ask{c.now, max(0, r.payoff(c.now)) / r.Units, r.Units})
 	r.node, r.held = n, true
 	i := sort.Search(len(n.held), func(i int) bool { return n.held[i].deadline > r.deadline })
 	n.held = slices.Insert(n.held, i, r)
--- a/control/state.go
+++ b/control/state.go
@@ -97,6 +97,12 @@
 	amount float64
 }
 
+// ask is a request that came for a node: its worth a unit, and its units.
+type ask struct {
+	at           time.Duration
+	worth, units float64
+}
+
 // node is a storage node as this host knows it.
 type node struct {
 	Node
@@ -108,6 +114,9 @@
 	rtt        float64 // mean round trip, ns; 0: none yet
 	lastAnswer time.Duration
 	silent     bool
+	asked      []ask // of the last second
+	bid        float64
+	bidAt      time.Duration
 	lastItem   string
 	meter      meter
 	sent       []stamp // while cold: units sent
