--- a/control/control.go
+++ b/control/control.go
@@ -412,12 +412,12 @@
 	c.shed(n)
 }
 
-// shed refuses held requests that cost more than they bring. A node with a free
-// place in the window and nothing before it takes one request in any case:
-// the trickle by which it can be judged again.
+// shed refuses held requests that cost more than they bring. What the window has
+// room for leaves in any case: the node is not short, whatever minRead says, and
+// it can be judged again.
 func (c *Controller) shed(n *node) {
 	for len(n.held) > 0 {
-		if len(n.held) == 1 && float64(len(n.out)) < n.window && !n.silent {
+		if !n.silent && float64(len(n.held)+len(n.out)) < n.window+1 {
 			return
 		}
 		all := c.value(n, nil)
@@ -445,7 +445,7 @@
 		c.expire(n)
 		c.shed(n)
 		c.fill(n)
-		n.meter.saturated(c.now, len(n.held) > 0)
+		n.meter.saturated(c.now, c.slot, rateMemory, len(n.held) > 0)
 		if len(n.held) > 0 {
 			wake = min(wake, c.now+c.slot/beatsPerSlot)
 			for _, r := range n.held {
@@ -490,7 +490,7 @@
 
 // send is the only place from which an attempt leaves.
 func (c *Controller) send(r *request, n *node) {
-	a := &attempt{req: r, node: n, sentAt: c.now, open: true}
+	a := &attempt{req: r, node: n, sentAt: c.now, heldFor: n.meter.heldFor(c.now), open: true}
 	if len(r.attempts) > 0 && c.set.ExtraSpan > 0 {
 		c.extra = append(c.extra, stamp{c.now, 1})
 	}
@@ -726,8 +726,9 @@
 	switch e.Result {
 	case Done:
 		n.lastAnswer, n.silent = c.now, false
-		if n.meter.on {
-			n.meter.last(c.now, c.slot, rateMemory).units += r.Units
+		if e.Elapsed > 0 {
+			part := float64(n.meter.heldFor(c.now)-a.heldFor) / float64(c.now-a.sentAt)
+			n.meter.last(c.now, c.slot, rateMemory).units += r.Units * min(1, part)
 		}
 		if n.rtt == 0 {
 			n.rtt = float64(e.Elapsed)
--- a/control/state.go
+++ b/control/state.go
@@ -15,10 +15,11 @@
 
 // attempt is one Send of a request.
 type attempt struct {
-	req    *request
-	node   *node
-	sentAt time.Duration
-	open   bool
+	req     *request
+	node    *node
+	sentAt  time.Duration
+	heldFor time.Duration // the node's meter then
+	open    bool
 }
 
 // request is a request taken, until it is over and no attempt of it is out.
@@ -128,9 +129,12 @@
 func (n *node) usable() bool { return n.listed && n.State == Ready }
 
 // meter measures minRead: the units served while requests were held at the
-// node, over the time for which they were, slot by slot.
+// node, over the time for which they were, slot by slot. Of the units of an
+// answer those count that fall, evenly over its time at the node, on time with
+// requests held: else a short queue would count its wait but not what it got.
 type meter struct {
-	slots []slotCount // the last of rateMemory
+	slots []slotCount // the last few seconds
+	total time.Duration
 	at    time.Duration
 	on    bool
 }
@@ -141,6 +145,7 @@
 	span  float64 // ns during which requests were held
 }
 
+// last is the slot of now; what is older than the memory is dropped.
 func (m *meter) last(now, slot, memory time.Duration) *slotCount {
 	if k := len(m.slots); k == 0 || now-m.slots[k-1].from >= slot {
 		m.slots = append(m.slots, slotCount{from: now})
@@ -151,10 +156,19 @@
 	return &m.slots[len(m.slots)-1]
 }
 
+// heldFor is the time so far during which requests were held.
+func (m *meter) heldFor(now time.Duration) time.Duration {
+	if m.on {
+		return m.total + now - m.at
+	}
+	return m.total
+}
+
 // saturated notes whether requests are held from now on.
-func (m *meter) saturated(now time.Duration, held bool) {
-	if m.on && len(m.slots) > 0 {
-		m.slots[len(m.slots)-1].span += float64(now - m.at)
+func (m *meter) saturated(now, slot, memory time.Duration, held bool) {
+	if m.on {
+		m.total += now - m.at
+		m.last(now, slot, memory).span += float64(now - m.at)
 	}
 	m.at, m.on = now, held
 }
