--- a/control/control.go
+++ b/control/control.go
@@ -389,9 +389,9 @@
 	n.asked = slices.DeleteFunc(n.asked, func(a ask) bool { return c.now-a.at > usageSpan })
 	byWorth := slices.Clone(n.asked)
 	slices.SortStableFunc(byWorth, func(a, b ask) int { return cmp.Compare(b.worth, a.worth) })
-	rate, units := c.rate(n), 0.0
+	room := c.rate(n) * float64(usageSpan)
 	for _, a := range byWorth {
-		if units += a.units; units > rate*float64(usageSpan+max(0, a.slack)) {
+		if room -= a.units; room < 0 {
 			n.bid = a.worth
 			break
 		}
@@ -405,7 +405,7 @@
 // request of lower worth.
 func (c *Controller) admit(r *request, n *node) {
 	c.price(r, n)
-	n.asked = append(n.asked, ask{c.now, max(0, r.payoff(c.now)) / r.Units, r.Units, r.aimAt - c.now})
+	n.asked = append(n.asked, ask{c.now, max(0, r.payoff(c.now)) / r.Units, r.Units})
 	r.node, r.held = n, true
 	i := sort.Search(len(n.held), func(i int) bool { return n.held[i].deadline > r.deadline })
 	n.held = slices.Insert(n.held, i, r)
--- a/control/state.go
+++ b/control/state.go
@@ -102,7 +102,6 @@
 type ask struct {
 	at           time.Duration
 	worth, units float64
-	slack        time.Duration // from its coming to its aim
 }
 
 // node is a storage node as this host knows it.
