--- a/control/control.go
+++ b/control/control.go
@@ -735,7 +735,7 @@
 		}
 		n.rtt += rttGain * (float64(e.Elapsed) - n.rtt)
 		c.told(r.volume, r.Units, e.VolumeUse)
-		if float64(e.Elapsed) > aimForNode*float64(r.class.Aim) {
+		if float64(e.Elapsed) > aimForNode*float64(c.slot)*max(1, r.Units/c.set.MeanUnits) {
 			c.halve(n, a)
 		} else if float64(len(n.out)+1) >= n.window/2 {
 			n.window = min(windowTop, n.window+1/n.window)
