--- a/control/control.go
+++ b/control/control.go
@@ -26,6 +26,7 @@
 	rttGain      = 0.15             // weight of a new round trip in the mean
 	usageSpan    = time.Second      // worth is counted by the second
 	silentAfter  = 3.0              // round trips (and an aim) without any answer: suspect
+	flowTrust    = 0.7              // part of window over round trip that minRead is held up to
 	coldMargin   = 0.8              // part of the cold budget that is used
 	askEarly     = 0.4              // part of the list's longest silence after which it is asked
 	beatsPerSlot = 4                // looks at held requests in a slot
@@ -684,31 +685,30 @@
 // ---- the measured rate ----
 
 // rate is minRead as units a nanosecond: measured, else the other nodes' mean,
-// else a windowful of mean requests a slot. Never under one request a deadline.
+// else a windowful of mean requests a slot. It is no lower than a part of what
+// the present window and round trip come to. Guards against a rate that spirals:
+// few slots measured, in a pause or at a node that came back, made all be
+// refused, and so nothing new was measured. Harm: at a node that slows down the
+// mean round trip is old for a while, and too much is admitted.
 func (c *Controller) rate(n *node) float64 {
-	r, ok := c.measured(n)
-	if !ok {
+	r, ok := n.meter.rate(float64(c.slot))
+	if !ok && n.rtt == 0 {
 		r = c.meanRate(n)
 	}
+	if n.rtt > 0 && !n.silent {
+		r = max(r, flowTrust*n.window*c.set.MeanUnits/n.rtt)
+	}
 	if c.cold(n) && c.set.FallSpan > 0 {
 		r = min(r, c.coldBudget(n)/float64(c.set.FallSpan))
 	}
 	return max(r, c.set.MeanUnits/float64(4*c.slot))
 }
 
-func (c *Controller) measured(n *node) (float64, bool) {
-	units, span := 0.0, 0.0
-	for _, s := range n.meter.slots {
-		units, span = units+s.units, span+s.span
-	}
-	return units / max(span, 1), span >= float64(c.slot)
-}
-
 func (c *Controller) meanRate(but *node) float64 {
 	sum, k := 0.0, 0.0
 	for _, n := range c.order {
-		if r, ok := c.measured(n); ok && n != but {
-			sum, k = sum+r, k+1
+		if n != but && n.rtt > 0 && !n.silent && !c.cold(n) {
+			sum, k = sum+c.rate(n), k+1
 		}
 	}
 	if k == 0 {
--- a/control/state.go
+++ b/control/state.go
@@ -172,3 +172,12 @@
 	}
 	m.at, m.on = now, held
 }
+
+// rate is units a nanosecond over the slots in memory, if they come to enough.
+func (m *meter) rate(enough float64) (float64, bool) {
+	units, span := 0.0, 0.0
+	for _, s := range m.slots {
+		units, span = units+s.units, span+s.span
+	}
+	return units / max(span, 1), span >= enough
+}
