--- a/control/control.go
+++ b/control/control.go
@@ -22,7 +22,7 @@
 	windowStart  = 4.0              // attempts out at a node, at first
 	windowTop    = 16.0             // the fixed ceiling
 	windowFloor  = 1.0              // the trickle: one attempt may always be out
-	aimForNode   = 0.6              // part of the aim that an attempt may take before the window halves
+	aimForNode   = 0.3              // part of the aim that an attempt may take before the window halves
 	rttGain      = 0.15             // weight of a new round trip in the mean
 	usageSpan    = time.Second      // worth is counted by the second
 	silentAfter  = 3.0              // round trips (and an aim) without any answer: suspect
@@ -418,7 +418,7 @@
 // it can be judged again.
 func (c *Controller) shed(n *node) {
 	for len(n.held) > 0 {
-		if !n.silent && float64(len(n.held)+len(n.out)) < n.window+1 {
+		if !n.silent && float64(len(n.held)+len(n.out)) < n.window+1 && !c.anyLate(n) {
 			return
 		}
 		all := c.value(n, nil)
@@ -436,6 +436,12 @@
 	}
 }
 
+// anyLate says that a held request would come late if it left at once.
+func (c *Controller) anyLate(n *node) bool {
+	end := c.now + time.Duration(n.rtt/2)
+	return slices.ContainsFunc(n.held, func(r *request) bool { return end > r.aimAt })
+}
+
 // ---- departure ----
 
 // depart sends held requests in deadline order as far as windows allow.
