--- a/control/control.go
+++ b/control/control.go
@@ -22,7 +22,7 @@
 	windowStart  = 4.0              // attempts out at a node, at first
 	windowTop    = 16.0             // the fixed ceiling
 	windowFloor  = 1.0              // the trickle: one attempt may always be out
-	aimForNode   = 0.3              // part of the aim that an attempt may take before the window halves
+	aimForNode   = 0.2              // part of the aim that an attempt may take before the window halves
 	rttGain      = 0.15             // weight of a new round trip in the mean
 	usageSpan    = time.Second      // worth is counted by the second
 	silentAfter  = 3.0              // round trips (and an aim) without any answer: suspect
