--- a/control/control.go
+++ b/control/control.go
@@ -22,7 +22,7 @@
 	windowStart  = 4.0              // attempts out at a node, at first
 	windowTop    = 16.0             // the fixed ceiling
 	windowFloor  = 1.0              // the trickle: one attempt may always be out
-	aimForNode   = 0.2              // part of the aim that an attempt may take before the window halves
+	aimForNode   = 0.15             // part of the aim that an attempt may take before the window halves
 	rttGain      = 0.15             // weight of a new round trip in the mean
 	usageSpan    = time.Second      // worth is counted by the second
 	silentAfter  = 3.0              // round trips (and an aim) without any answer: suspect
@@ -300,7 +300,7 @@
 // place finds the node for a request and holds it there if it is admitted.
 func (c *Controller) place(r *request) {
 	n := c.target(r)
-	if n == nil || !c.mayTry(r) {
+	if n == nil || r.deadline <= c.now || !c.mayTry(r) {
 		c.giveUp(r)
 		return
 	}
@@ -540,10 +540,6 @@
 	if r.over || r.started || c.open(r) {
 		return nil
 	}
-	if r.deadline <= c.now || e.Result == Done {
-		c.giveUp(r)
-		return nil
-	}
 	return r
 }
 
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,676 @@
+package control
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// bench drives a controller by hand.
+type bench struct {
+	t   *testing.T
+	c   *Controller
+	now time.Duration
+}
+
+func settings() Settings {
+	return Settings{
+		Hosts: 2, MeanUnits: 2, MostUnits: 8, MaxAttempts: 4, MaxRetryAfter: time.Second,
+		Classes: []Class{
+			{Name: "read", Effect: Safe, Aim: 100 * ms, Deadline: time.Second, Worth: 2, LateWorth: 0.1},
+			{Name: "write", Effect: Keyed, Group: GroupCell, Window: 500 * ms, Aim: 200 * ms,
+				Deadline: 2 * time.Second, Worth: 2, LateWorth: 0.1, Writes: true},
+			{Name: "anywhere", Effect: Keyed, Group: GroupAll, Window: 500 * ms, Aim: 200 * ms,
+				Deadline: 2 * time.Second, Worth: 2},
+			{Name: "zoned", Effect: Keyed, Group: GroupZone, Window: 500 * ms, Aim: 200 * ms,
+				Deadline: 2 * time.Second, Worth: 2},
+			{Name: "once", Effect: Unsafe, Aim: 200 * ms, Deadline: 2 * time.Second, Worth: 2},
+			{Name: "turns", Effect: Safe, Aim: 200 * ms, Deadline: 2 * time.Second, Worth: 2, InOrder: true},
+		},
+	}
+}
+
+func start(t *testing.T, set Settings, nodes ...Node) *bench {
+	t.Helper()
+	c, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, c: c, now: time.Hour}
+	b.step(0, NodeList{Kind: ListCached, Nodes: nodes})
+	return b
+}
+
+// step passes time and returns the actions that are not timers.
+func (b *bench) step(d time.Duration, events ...Event) []Action {
+	b.now += d
+	return slices.DeleteFunc(slices.Clone(b.c.Step(b.now, events)), func(a Action) bool {
+		_, timer := a.(SetTimer)
+		return timer
+	})
+}
+
+func entry(id string, shard int) Node { return Node{ID: id, Zone: "z" + id, Shard: shard} }
+
+func read(id string) Request {
+	return Request{ID: id, Class: "read", Volume: "v", Hosts: 1, Units: 2, Expires: time.Second}
+}
+
+func of(class, id string) Request {
+	r := read(id)
+	r.Class, r.Expires = class, 2*time.Second
+	return r
+}
+
+func ended(id, node string, attempt int, res Result) Outcome {
+	return Outcome{ID: id, Node: node, Attempt: attempt, Result: res, Elapsed: 10 * ms, Closed: res == Done}
+}
+
+// sends lists the ids and nodes of the attempts among actions.
+func sends(actions []Action) (list []string) {
+	for _, a := range actions {
+		if s, ok := a.(Send); ok {
+			list = append(list, s.ID+">"+s.Node)
+		}
+	}
+	return list
+}
+
+// finals lists the final answers among actions.
+func finals(actions []Action) (list []string) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Refuse:
+			list = append(list, "refuse "+a.ID)
+		case Fail:
+			list = append(list, "fail "+a.ID)
+		}
+	}
+	return list
+}
+
+func (b *bench) want(what string, got []string, want ...string) {
+	b.t.Helper()
+	if !slices.Equal(got, want) {
+		b.t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+func TestNewNamesTheBadField(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		spoil func(*Settings)
+		want  string
+	}{
+		{"no class", func(s *Settings) { s.Classes = nil }, "classes"},
+		{"unknown effect", func(s *Settings) { s.Classes[0].Effect = 9 }, "classes[read].effect"},
+		{"unknown group", func(s *Settings) { s.Classes[1].Group = 9 }, "classes[write].group"},
+		{"negative aim", func(s *Settings) { s.Classes[0].Aim = -1 }, "classes[read]"},
+		{"negative cold time", func(s *Settings) { s.ColdFor = -1 }, "cold time"},
+		{"negative limit", func(s *Settings) { s.Plans = []Plan{{Name: "p", LimitRate: -1}} }, "plans[p]"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			set := settings()
+			tt.spoil(&set)
+			_, err := New(set, 1)
+			if err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("error %v does not name %q", err, tt.want)
+			}
+		})
+	}
+	if _, err := New(Settings{Classes: []Class{{Name: "bare"}}}, 1); err != nil {
+		t.Errorf("odd but legal settings: %v", err)
+	}
+}
+
+func TestUnheldIsPassedOver(t *testing.T) {
+	b := start(t, settings(), entry("n", 0))
+	got := b.step(ms, ended("x", "n", 0, Done), ClientGone{"x"}, TimerFired{77}, AnswerStarted{ID: "x"},
+		ProbeResult{Node: "q"})
+	if len(got) != 0 {
+		t.Errorf("actions for what is not held: %v", got)
+	}
+}
+
+// Rule 1: one final answer, nothing after it.
+func TestOneFinalAnswer(t *testing.T) {
+	b := start(t, settings(), entry("n", 0))
+	b.want("first", sends(b.step(ms, read("a"))), "a>n")
+	got := b.step(time.Second, ended("a", "n", 0, TimedOut), ClientGone{"a"}, TimerFired{b.c.token})
+	b.want("outcome, client gone and timer in one batch", append(sends(got), finals(got)...))
+	if len(b.c.reqs) != 0 {
+		t.Errorf("%d requests still kept", len(b.c.reqs))
+	}
+	b.step(ms, read("b"))
+	got = b.step(time.Second-ms, ended("b", "n", 0, TimedOut))
+	b.want("time-out at the deadline", finals(got), "refuse b")
+	got = b.step(ms, ClientGone{"b"})
+	b.want("after the answer", append(sends(got), finals(got)...))
+}
+
+func TestHeldRequestIsAnsweredByItsDeadline(t *testing.T) {
+	b := start(t, settings(), entry("n", 0))
+	answered, taken := map[string]int{}, 0
+	for range 30 {
+		taken++
+		b.note(answered, b.step(0, read(fmt.Sprint("r", taken))))
+	}
+	for range 110 { // the node answers nothing
+		b.note(answered, b.step(10*ms, TimerFired{b.c.token}))
+	}
+	out := 0
+	for _, r := range b.c.reqs {
+		if r.held {
+			t.Errorf("%s is still held after its deadline", r.ID)
+		}
+		out++
+	}
+	if len(answered)+out != taken {
+		t.Errorf("%d answered and %d out of %d", len(answered), out, taken)
+	}
+}
+
+func (b *bench) note(answered map[string]int, actions []Action) {
+	b.t.Helper()
+	for _, f := range finals(actions) {
+		id := strings.Fields(f)[1]
+		if answered[id]++; answered[id] > 1 {
+			b.t.Errorf("%s answered twice", id)
+		}
+	}
+}
+
+// Rule 2: which class goes where after which outcome.
+func TestEffects(t *testing.T) {
+	two := []Node{entry("n", 0), entry("o", 1)}
+	free := func(class string) Request { r := of(class, "a"); r.Shard = AnyShard; return r }
+	for _, tt := range []struct {
+		name   string
+		req    Request
+		result Result
+		after  time.Duration
+		want   string // where it goes next, or the final answer
+	}{
+		{"safe after an error", of("read", "a"), Error, ms, "send"},
+		{"unsafe after an error", of("once", "a"), Error, ms, "fail"},
+		{"unsafe turned away", of("once", "a"), Busy, ms, "send"},
+		{"unsafe unreachable", of("once", "a"), Unreachable, ms, "send"},
+		{"unsafe reset", of("once", "a"), Reset, ms, "fail"},
+		{"keyed cell in its window", free("write"), Error, 100 * ms, "same"},
+		{"keyed cell after its window", free("write"), Error, 501 * ms, "fail"},
+		{"keyed all after its window", free("anywhere"), Error, 501 * ms, "refuse"},
+		{"keyed zone in its window", free("zoned"), Reset, 100 * ms, "same"},
+		{"keyed zone after its window", free("zoned"), Reset, 501 * ms, "fail"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := start(t, settings(), two...)
+			first := sends(b.step(ms, tt.req))
+			if len(first) != 1 {
+				t.Fatalf("first attempts %v", first)
+			}
+			at := first[0][2:]
+			got := b.step(tt.after, ended("a", at, 0, tt.result))
+			switch tt.want {
+			case "send":
+				if len(sends(got)) != 1 {
+					t.Errorf("got %v", got)
+				}
+			case "same":
+				b.want("next", sends(got), first[0])
+			default:
+				b.want("answer", append(sends(got), finals(got)...), tt.want+" a")
+			}
+		})
+	}
+}
+
+// A keyed request that may have run leaves its group neither when its node goes
+// nor when another is free.
+func TestKeyedStaysInItsGroup(t *testing.T) {
+	b := start(t, settings(), entry("n", 0), entry("o", 1))
+	r := of("write", "a")
+	r.Shard = AnyShard
+	first := sends(b.step(ms, r))[0][2:]
+	shard := b.c.nodes[first].Shard
+	got := b.step(ms, NodeList{Kind: ListDelta, Nodes: []Node{{ID: first, Shard: shard, State: Gone}}},
+		ended("a", first, 0, Reset))
+	b.want("no node of the group", append(sends(got), finals(got)...), "fail a")
+}
+
+// Rule 3: nothing new once told, whatever the list calls it.
+func TestDrains(t *testing.T) {
+	gone := []struct {
+		name string
+		news NodeList
+	}{
+		{"draining", NodeList{Kind: ListDelta, Nodes: []Node{{ID: "n", State: Draining}}}},
+		{"gone", NodeList{Kind: ListDelta, Nodes: []Node{{ID: "n", State: Gone}}}},
+		{"left out of a full list", NodeList{Kind: ListFull, Nodes: []Node{entry("o", 1)}}},
+	}
+	for _, tt := range gone {
+		t.Run(tt.name, func(t *testing.T) {
+			b := start(t, settings(), entry("n", 0), entry("o", 1))
+			for i := range 9 { // some held
+				b.step(0, read(fmt.Sprint("h", i)))
+			}
+			got := b.step(ms, tt.news, read("a"))
+			got = append(got, b.step(ms, ended("h0", "n", 0, Done))...)
+			b.want("sends", sends(got))
+			b.step(ms, NodeList{Kind: ListDelta, Nodes: []Node{entry("n", 0)}})
+			b.want("back", sends(b.step(ms, read("b"))), "b>n")
+		})
+	}
+	b := start(t, settings(), entry("n", 0))
+	b.step(ms, NodeList{Kind: ListDelta, Nodes: []Node{{ID: "n", State: Draining}, entry("p", 0)}})
+	b.want("successor of the same shard", sends(b.step(ms, read("a"))), "a>p")
+	b.step(ms, NodeList{Kind: ListFailed})
+	b.want("list kept after a failure", sends(b.step(ms, read("b"))), "b>p")
+}
+
+func TestListOnRequest(t *testing.T) {
+	set := settings()
+	set.ListOnRequest, set.AskWithin = true, 10*time.Second
+	c, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, c: c, now: time.Hour}
+	asks := func(a []Action) int {
+		return len(slices.DeleteFunc(a, func(a Action) bool { _, ok := a.(Subscribe); return !ok }))
+	}
+	if n := asks(b.step(0, NodeList{Kind: ListCached})); n != 1 {
+		t.Errorf("%d calls at the start, want 1", n)
+	}
+	b.step(ms, NodeList{Kind: ListFailed})
+	if n := asks(b.step(9*time.Second, TimerFired{b.c.token})); n != 1 {
+		t.Errorf("%d calls within the stated silence after a failure, want 1", n)
+	}
+	b.step(ms, NodeList{Kind: ListFull})
+	if n := asks(b.step(time.Minute)); n != 0 {
+		t.Errorf("%d calls while subscribed, want 0", n)
+	}
+}
+
+// Rule 4: units to a cold node within any span of the stated length.
+func TestColdBudget(t *testing.T) {
+	for _, cached := range []bool{false, true} {
+		set := settings()
+		set.ColdFor, set.ColdCapacity, set.FallMultiple = 10*time.Second, 0.2, 3
+		set.FallSpan, set.ColdBears = time.Second, 20
+		b := start(t, set, entry("o", 1))
+		n := entry("n", 0)
+		n.StartedAt = b.now
+		kind := ListDelta
+		if cached { // this host itself has just restarted
+			b = start(t, set)
+			kind = ListCached
+		}
+		b.step(0, NodeList{Kind: kind, Nodes: []Node{n}})
+		var sent []time.Duration
+		for i := range 200 {
+			got := b.step(5*ms, read(fmt.Sprint("r", i)))
+			for _, s := range sends(got) {
+				sent = append(sent, b.now)
+				id, _, _ := strings.Cut(s, ">")
+				b.step(0, ended(id, "n", 0, Done))
+			}
+		}
+		for i := range sent {
+			units := 0.0
+			for _, at := range sent[i:] {
+				if at-sent[i] <= set.FallSpan {
+					units += 2
+				}
+			}
+			// A host alone may use its part of what the node bears in any case, or
+			// the multiple of what it has itself seen nodes do; here nothing was seen.
+			if most := b.c.coldBudget(b.c.nodes["n"]); units > most {
+				t.Fatalf("cached %v: %v units within the span, budget %v", cached, units, most)
+			}
+		}
+		if len(sent) == 0 {
+			t.Errorf("cached %v: nothing sent to the cold node", cached)
+		}
+	}
+}
+
+// Rule 5: this host's part of a volume's store.
+func TestLimit(t *testing.T) {
+	set := settings()
+	set.Plans = []Plan{{Name: "p", LimitRate: 20, LimitBurst: 40, LimitSlack: 4, Weight: 1}}
+	b := start(t, set, entry("n", 0))
+	units := 0.0
+	for i := range 300 {
+		r := read(fmt.Sprint("r", i))
+		r.Plan, r.Hosts = "p", 2
+		for _, s := range sends(b.step(10*ms, r)) {
+			units += 2
+			id, _, _ := strings.Cut(s, ">")
+			b.step(0, ended(id, "n", 0, Done))
+		}
+	}
+	// 3 s at half of 20 a second, and half of the slack.
+	if most := 3*10.0 + 2; units > most || units < most/2 {
+		t.Errorf("%v units sent, at most %v and at least half of it", units, most)
+	}
+}
+
+// Rule 6: turns by key, and the rest after doubt.
+func TestKeyOrder(t *testing.T) {
+	set := settings()
+	set.OrderRest = 100 * ms
+	b := start(t, set, entry("n", 0))
+	turn := func(id string) Request { r := of("turns", id); r.Item = "k"; return r }
+	b.want("first", sends(b.step(0, turn("a"), turn("b"), turn("c"))), "a>n")
+	b.want("own further try goes first", sends(b.step(ms, ended("a", "n", 0, Error))), "a>n")
+	b.want("client gone, attempt still out", sends(b.step(ms, ClientGone{"a"})))
+	b.want("doubt", sends(b.step(ms, ended("a", "n", 1, TimedOut))))
+	b.want("rest", sends(b.step(90*ms, TimerFired{b.c.token})))
+	b.want("rested", sends(b.step(11*ms, TimerFired{b.c.token})), "b>n")
+	b.want("next", sends(b.step(ms, ended("b", "n", 0, Done))), "c>n")
+}
+
+// Rule 7: further attempts within the stated budget.
+func TestAttemptBudget(t *testing.T) {
+	set := settings()
+	set.ExtraFree, set.ExtraShare, set.ExtraSpan = 2, 0.1, 5*time.Second
+	b := start(t, set, entry("n", 0))
+	taken, extra := 0, 0
+	for i := range 60 {
+		id := fmt.Sprint("r", i)
+		taken++
+		for attempt := range sends(b.step(20*ms, read(id))) {
+			for again := true; again; attempt++ {
+				got := sends(b.step(0, ended(id, "n", attempt, Error)))
+				again = len(got) > 0
+				extra += len(got)
+			}
+		}
+		if most := 2 + 0.1*float64(taken); float64(extra) > most {
+			t.Fatalf("%d further attempts after %d requests, at most %v", extra, taken, most)
+		}
+	}
+	if extra == 0 {
+		t.Error("no further attempt at all")
+	}
+}
+
+func TestNoSecondCopy(t *testing.T) {
+	b := start(t, settings(), entry("n", 0))
+	b.step(0, read("a"))
+	for range 50 {
+		b.want("while one is out", sends(b.step(10*ms, TimerFired{b.c.token})))
+	}
+}
+
+// The emulation: what ends when, and who is refused.
+func TestEmulation(t *testing.T) {
+	held := func(id string, units float64, deadline, aim time.Duration, worth float64) *request {
+		return &request{Request: Request{ID: id, Units: units}, deadline: time.Hour + deadline,
+			aimAt: time.Hour + aim, worth: worth, class: &class{Class: Class{LateWorth: 0.1, Aim: aim}},
+			volume: &volume{plan: &Plan{}}}
+	}
+	for _, tt := range []struct {
+		name string
+		held []*request
+		want []string // refused
+	}{
+		{"all in time", []*request{held("a", 2, 500*ms, 200*ms, 1), held("b", 2, 500*ms, 200*ms, 1)}, nil},
+		{"read ahead for a later deadline", []*request{held("a", 2, 100*ms, 100*ms, 1),
+			held("b", 6, 900*ms, 400*ms, 1)}, nil},
+		{"deadline missed", []*request{held("a", 2, 500*ms, 200*ms, 1), held("b", 20, 900*ms, 900*ms, 1)},
+			[]string{"refuse b"}},
+		{"the one worth least gives way", []*request{held("a", 4, 500*ms, 200*ms, 1),
+			held("b", 4, 510*ms, 200*ms, 5)}, []string{"refuse a"}},
+		{"late is worth little", []*request{held("a", 4, 500*ms, -ms, 1), held("b", 4, 510*ms, 250*ms, 5)},
+			[]string{"refuse a"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := start(t, settings(), entry("n", 0))
+			n := b.c.nodes["n"]
+			n.window = 0 // nothing leaves
+			// 20 units a second, measured.
+			n.meter.slots = []slotCount{{from: b.now, units: 20, span: float64(time.Second)}}
+			for _, r := range tt.held {
+				r.node, r.held = n, true
+				n.held = append(n.held, r)
+			}
+			b.c.actions, b.c.now = nil, b.now
+			b.c.shed(n)
+			b.want("refused", finals(b.c.actions), tt.want...)
+		})
+	}
+}
+
+func TestDepartureByDeadline(t *testing.T) {
+	b := start(t, settings(), entry("n", 0))
+	b.c.nodes["n"].window = 1
+	b.step(0, read("first"))
+	late, soon := read("late"), read("soon")
+	late.Expires, soon.Expires = 900*ms, 800*ms
+	b.step(0, late, soon)
+	slow := ended("first", "n", 0, Done) // the window stays at one
+	slow.Elapsed = 90 * ms
+	b.want("next", sends(b.step(5*ms, slow)), "soon>n")
+	b.want("then", sends(b.step(5*ms, ended("soon", "n", 0, Done))), "late>n")
+}
+
+func TestWindow(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		result Result
+		took   time.Duration
+		grows  bool
+	}{
+		{"quick answer", Done, 5 * ms, true},
+		{"answer past the aim", Done, 150 * ms, false},
+		{"fast error", Error, ms, false},
+		{"turned away", Busy, ms, false},
+		{"time-out", TimedOut, 150 * ms, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := start(t, settings(), entry("n", 0))
+			n := b.c.nodes["n"]
+			for i := range 200 {
+				id := fmt.Sprint("r", i)
+				before := n.window
+				for range sends(b.step(0, read(id))) {
+					o := ended(id, "n", 0, tt.result)
+					o.Elapsed, o.Closed = tt.took, true
+					b.step(tt.took, o)
+				}
+				if n.window > windowTop || n.window < windowFloor {
+					t.Fatalf("window %v out of bounds", n.window)
+				}
+				if !tt.grows && n.window > before {
+					t.Fatalf("window grew from %v to %v", before, n.window)
+				}
+			}
+			if !tt.grows && n.window != windowFloor {
+				t.Errorf("window %v, want the floor", n.window)
+			}
+		})
+	}
+}
+
+func TestNewObjectGoesWhereItEndsFirst(t *testing.T) {
+	b := start(t, settings(), entry("n", 0), entry("o", 1))
+	b.step(0, read("a"))
+	w := of("write", "w")
+	w.Shard = AnyShard
+	b.want("new object", sends(b.step(ms, w)), "w>o")
+}
+
+// A measured rate that was brought down in a pause must not refuse what an open
+// window would serve (atlanta-main big-2).
+func TestRateDoesNotSpiral(t *testing.T) {
+	b := start(t, settings(), entry("n", 0))
+	n := b.c.nodes["n"]
+	n.rtt = float64(10 * ms)
+	n.meter.slots = []slotCount{{from: b.now, units: 0, span: float64(5 * time.Second)}}
+	var run []Event
+	for i := range 8 {
+		run = append(run, read(fmt.Sprint("r", i)))
+	}
+	if got := b.step(ms, run...); len(finals(got)) != 0 {
+		t.Errorf("refused at an open window: %v", finals(got))
+	}
+}
+
+// Under a load of three times the rate, answers go on coming in time: what is
+// late already gives way (incidents i2a3b36, id6193e, i1de7f9).
+func TestOverloadDoesNotQueueLate(t *testing.T) {
+	b := start(t, settings(), entry("n", 0))
+	taken := map[string]time.Duration{}
+	var out []string
+	inTime, late := 0, 0
+	for i := range 3000 {
+		var events []Event
+		if i%2 == 0 && len(out) > 0 { // an answer each 10 ms
+			id := out[0]
+			out = out[1:]
+			if b.now+5*ms-taken[id] <= 100*ms {
+				inTime++
+			} else {
+				late++
+			}
+			o := ended(id, "n", 0, Done)
+			o.Elapsed = 20 * ms
+			events = append(events, o)
+		}
+		for k := range 2 {
+			id := fmt.Sprint("r", i, ".", k)
+			taken[id] = b.now + 5*ms
+			events = append(events, read(id))
+		}
+		for _, s := range sends(b.step(5*ms, events...)) {
+			id, _, _ := strings.Cut(s, ">")
+			out = append(out, id)
+		}
+	}
+	if inTime < 10*late {
+		t.Errorf("%d in time, %d late", inTime, late)
+	}
+}
+
+// The rules hold over random legal events, and the same events give the same
+// actions.
+func TestRandomEvents(t *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		first, second := play(t, seed), play(t, seed)
+		if !reflect.DeepEqual(first, second) {
+			t.Fatalf("seed %d: two runs differ", seed)
+		}
+	}
+}
+
+// world keeps what the rules need to know of a random sequence.
+type world struct {
+	t        *testing.T
+	over     map[string]bool
+	answers  map[string]int
+	requests map[string]Request
+	tries    map[string]int
+	out      []Outcome // attempts without an outcome
+	state    map[string]NodeState
+}
+
+func (w *world) check(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			if w.over[a.ID] || w.state[a.Node] != Ready {
+				w.t.Fatalf("attempt for %s (over %v) at %s (state %v)", a.ID, w.over[a.ID], a.Node, w.state[a.Node])
+			}
+			for _, o := range w.out {
+				if o.ID == a.ID {
+					w.t.Fatalf("%s has two attempts out", a.ID)
+				}
+			}
+			w.out = append(w.out, Outcome{ID: a.ID, Node: a.Node, Attempt: w.tries[a.ID]})
+			w.tries[a.ID]++
+		case Refuse:
+			w.final(a.ID)
+		case Fail:
+			w.final(a.ID)
+		}
+	}
+}
+
+func (w *world) final(id string) {
+	if w.over[id] {
+		w.t.Fatalf("%s answered after its end", id)
+	}
+	w.over[id] = true
+}
+
+func play(t *testing.T, seed int64) []Action {
+	rng := rand.New(rand.NewSource(seed))
+	set := settings()
+	set.ExtraSpan, set.ExtraFree, set.ExtraShare = time.Second, 3, 0.2
+	set.ColdFor, set.ColdCapacity, set.FallMultiple, set.FallSpan, set.ColdBears =
+		5*time.Second, 0.2, 3, time.Second, 20
+	nodes := []Node{entry("n", 0), entry("o", 1), entry("p", 2)}
+	b := start(t, set, nodes...)
+	w := &world{t: t, over: map[string]bool{}, requests: map[string]Request{}, tries: map[string]int{},
+		state: map[string]NodeState{}}
+	var all []Action
+	for i := range 1500 {
+		var events []Event
+		for range rng.Intn(4) {
+			r := of(set.Classes[rng.Intn(len(set.Classes))].Name, fmt.Sprint("q", i, ".", len(events)))
+			r.Shard, r.Units, r.Item = rng.Intn(4)-1, float64(1+rng.Intn(8)), fmt.Sprint("k", rng.Intn(20))
+			r.Expires = time.Duration(20+rng.Intn(800)) * ms
+			w.requests[r.ID] = r
+			events = append(events, r)
+		}
+		for range rng.Intn(3) {
+			if len(w.out) == 0 {
+				break
+			}
+			k := rng.Intn(len(w.out))
+			o := w.out[k]
+			w.out = slices.Delete(w.out, k, k+1)
+			o.Result = Result(rng.Intn(int(unknownCount)))
+			o.Elapsed = time.Duration(rng.Intn(200)) * ms
+			o.Closed = w.over[o.ID] || o.Result == Done
+			w.over[o.ID] = o.Closed
+			events = append(events, o)
+		}
+		if rng.Intn(30) == 0 {
+			n := nodes[rng.Intn(len(nodes))]
+			n.State = NodeState(rng.Intn(3))
+			if n.State == Ready && rng.Intn(2) == 0 {
+				n.StartedAt = b.now
+			}
+			w.state[n.ID] = n.State
+			events = append(events, NodeList{Kind: ListDelta, Nodes: []Node{n}})
+		}
+		if rng.Intn(10) == 0 {
+			id := fmt.Sprint("q", rng.Intn(i+1), ".0")
+			if _, known := w.requests[id]; known {
+				w.over[id] = true
+				events = append(events, ClientGone{id})
+			}
+		}
+		actions := b.step(time.Duration(rng.Intn(20))*ms, append(events, TimerFired{b.c.token})...)
+		w.check(actions)
+		all = append(all, actions...)
+	}
+	for i := 0; i < 100; i++ { // all clients' time passes
+		w.check(b.step(20*ms, TimerFired{b.c.token}))
+	}
+	for id := range w.requests {
+		out := slices.ContainsFunc(w.out, func(o Outcome) bool { return o.ID == id })
+		if !w.over[id] && !out {
+			t.Fatalf("seed %d: %s got no answer", seed, id)
+		}
+	}
+	return all
+}
