--- a/control/control.go
+++ b/control/control.go
@@ -27,6 +27,8 @@
 	usageSpan    = time.Second      // worth is counted by the second
 	silentAfter  = 3.0              // round trips (and an aim) without any answer: suspect
 	flowTrust    = 0.7              // part of window over round trip that minRead is held up to
+	suspectAfter = 3                // failures on end: suspect
+	backoffTop   = 8                // longest pause between attempts at a suspect node, slots
 	coldMargin   = 0.8              // part of the cold budget that is used
 	askEarly     = 0.4              // part of the list's longest silence after which it is asked
 	beatsPerSlot = 4                // looks at held requests in a slot
@@ -318,7 +320,7 @@
 			continue
 		}
 		end := c.emulatedEnd(n, r.Units) + time.Duration(n.rtt)
-		if n.silent || c.cold(n) {
+		if n.suspect() || c.cold(n) {
 			end += r.class.Deadline // only when there is nothing better
 		}
 		if best == nil || end < bestEnd {
@@ -418,14 +420,21 @@
 // it can be judged again.
 func (c *Controller) shed(n *node) {
 	for len(n.held) > 0 {
-		if !n.silent && float64(len(n.held)+len(n.out)) < n.window+1 && !c.anyLate(n) {
+		if n.suspect() && len(n.held) == 1 && c.now >= n.tryAt {
+			return
+		}
+		if !n.suspect() && float64(len(n.held)+len(n.out)) < n.window+1 && !c.anyLate(n) {
 			return
 		}
 		all := c.value(n, nil)
 		var worst *request
 		gain := 1e-9
 		for _, r := range n.held {
-			if g := c.value(n, r) - all; g > gain && !r.over {
+			g := c.value(n, r) - all
+			if n.suspect() {
+				g = 1/(r.worth+1) + 1 // all but the one worth most
+			}
+			if g > gain {
 				worst, gain = r, g
 			}
 		}
@@ -476,7 +485,7 @@
 
 // fill sends what the window has room for.
 func (c *Controller) fill(n *node) {
-	for i := 0; i < len(n.held) && float64(len(n.out)) < n.window; {
+	for i := 0; i < len(n.held) && c.windowRoom(n); {
 		r := n.held[i]
 		if !c.turn(r) || !c.limitRoom(r) {
 			i++
@@ -495,6 +504,15 @@
 	}
 }
 
+// windowRoom: the window has a place. A suspect node gets one attempt now and
+// then, the longer after the more often it failed.
+func (c *Controller) windowRoom(n *node) bool {
+	if n.suspect() {
+		return c.now >= n.tryAt
+	}
+	return float64(len(n.out)) < n.window
+}
+
 // send is the only place from which an attempt leaves.
 func (c *Controller) send(r *request, n *node) {
 	a := &attempt{req: r, node: n, sentAt: c.now, heldFor: n.meter.heldFor(c.now), open: true}
@@ -507,6 +525,9 @@
 	if c.cold(n) {
 		n.sent = append(n.sent, stamp{c.now, r.Units})
 	}
+	if n.suspect() {
+		n.backOff(c.now, c.slot)
+	}
 	r.attempts = append(r.attempts, a)
 	n.out = append(n.out, a)
 	n.lastItem = r.Item
@@ -697,7 +718,7 @@
 	if !ok && n.rtt == 0 {
 		r = c.meanRate(n)
 	}
-	if n.rtt > 0 && !n.silent {
+	if n.rtt > 0 && !n.suspect() {
 		r = max(r, flowTrust*n.window*c.set.MeanUnits/n.rtt)
 	}
 	if c.cold(n) && c.set.FallSpan > 0 {
@@ -709,7 +730,7 @@
 func (c *Controller) meanRate(but *node) float64 {
 	sum, k := 0.0, 0.0
 	for _, n := range c.order {
-		if n != but && n.rtt > 0 && !n.silent && !c.cold(n) {
+		if n != but && n.rtt > 0 && !n.suspect() && !c.cold(n) {
 			sum, k = sum+c.rate(n), k+1
 		}
 	}
@@ -727,7 +748,7 @@
 	r := a.req
 	switch e.Result {
 	case Done:
-		n.lastAnswer, n.silent = c.now, false
+		n.recover(c.now)
 		if e.Elapsed > 0 {
 			part := float64(n.meter.heldFor(c.now)-a.heldFor) / float64(c.now-a.sentAt)
 			n.meter.last(c.now, c.slot, rateMemory).units += r.Units * min(1, part)
@@ -742,7 +763,10 @@
 		} else if float64(len(n.out)+1) >= n.window/2 {
 			n.window = min(windowTop, n.window+1/n.window)
 		}
-	case Error, Busy, TimedOut, Reset, Unreachable:
+	case Error, TimedOut, Reset, Unreachable:
+		n.failed++
+		c.halve(n, a)
+	case Busy:
 		c.halve(n, a)
 	}
 }
@@ -764,6 +788,27 @@
 	}
 }
 
+// suspect: the node answers nothing, or has failed several times on end. New
+// objects go elsewhere, requests that only it can serve are refused at once but
+// for a trickle. Guards against silent, vanished and failing nodes alike, of which
+// an empty queue looks like the quickest. Harm: a node whose answers all
+// take long for a moment is shunned until its next answer.
+func (n *node) suspect() bool { return n.silent || n.failed >= suspectAfter }
+
+// backOff puts the next attempt at a suspect node off, twice as long each time.
+func (n *node) backOff(now, slot time.Duration) {
+	n.pause = min(max(slot, 2*n.pause), backoffTop*slot)
+	n.tryAt = now + n.pause
+}
+
+// recover takes an answer as proof of life; the window starts small again.
+func (n *node) recover(now time.Duration) {
+	if n.suspect() {
+		n.window = windowFloor
+	}
+	n.lastAnswer, n.silent, n.failed, n.pause = now, false, 0, 0
+}
+
 // watch marks a node from which answers are overdue by what it used to take.
 func (c *Controller) watch(n *node) {
 	if len(n.out) == 0 {
@@ -819,7 +864,7 @@
 		i := sort.Search(len(c.order), func(i int) bool { return c.order[i].ID > e.ID })
 		c.order = slices.Insert(c.order, i, n)
 	} else if e.StartedAt > n.StartedAt {
-		n.window, n.meter, n.rtt, n.silent = windowStart, meter{}, 0, false
+		n.window, n.meter, n.rtt, n.silent, n.failed, n.pause = windowStart, meter{}, 0, false, 0, 0
 	}
 	n.Node, n.listed = e, e.State != Gone
 }
--- a/control/state.go
+++ b/control/state.go
@@ -115,7 +115,10 @@
 	rtt        float64 // mean round trip, ns; 0: none yet
 	lastAnswer time.Duration
 	silent     bool
-	asked      []ask // of the last second
+	failed     int           // failures since the last answer
+	pause      time.Duration // between attempts while suspect
+	tryAt      time.Duration // the next one
+	asked      []ask         // of the last second
 	bid        float64
 	bidAt      time.Duration
 	lastItem   string
