--- a/control/control.go
+++ b/control/control.go
@@ -251,19 +251,6 @@
 	}
 }
 
-func (v *volume) weight() float64 { return max(v.plan.Weight, 0.01) / v.hosts }
-
-func (n *node) usageOf(v *volume) *usage {
-	for _, u := range n.usages {
-		if u.volume == v {
-			return u
-		}
-	}
-	u := &usage{volume: v}
-	n.usages = append(n.usages, u)
-	return u
-}
-
 // shareLevel is the units a second for each unit of weight that the volumes
 // asking at the node can get of what this host gets there beyond the reserves.
 func (c *Controller) shareLevel(n *node) float64 {
@@ -334,14 +321,17 @@
 
 // freeAt is when the node, reading minRead a slot, is done with what is out.
 func (c *Controller) freeAt(n *node) time.Duration {
-	units := 0.0
+	units, done := 0.0, 0.0
 	for _, a := range n.out {
+		if c.overdue(a) {
+			continue
+		}
+		if units == 0 {
+			done = min(a.req.Units, c.rate(n)*float64(c.now-max(n.lastAnswer, a.sentAt)))
+		}
 		units += a.req.Units
 	}
-	if len(n.out) > 0 {
-		since := max(n.lastAnswer, n.out[0].sentAt)
-		units -= min(n.out[0].req.Units, c.rate(n)*float64(c.now-since))
-	}
+	units -= done
 	return c.now + time.Duration(units/c.rate(n))
 }
 
@@ -423,7 +413,7 @@
 		if n.suspect() && len(n.held) == 1 && c.now >= n.tryAt {
 			return
 		}
-		if !n.suspect() && float64(len(n.held)+len(n.out)) < n.window+1 && !c.anyLate(n) {
+		if !n.suspect() && float64(len(n.held))+c.live(n) < n.window+1 && !c.anyLate(n) {
 			return
 		}
 		all := c.value(n, nil)
@@ -510,7 +500,7 @@
 	if n.suspect() {
 		return c.now >= n.tryAt
 	}
-	return float64(len(n.out)) < n.window
+	return c.live(n) < n.window
 }
 
 // send is the only place from which an attempt leaves.
@@ -530,7 +520,6 @@
 	}
 	r.attempts = append(r.attempts, a)
 	n.out = append(n.out, a)
-	n.lastItem = r.Item
 	c.act(Send{ID: r.ID, Node: n.ID})
 }
 
@@ -564,10 +553,6 @@
 	return r
 }
 
-func (c *Controller) open(r *request) bool {
-	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.open })
-}
-
 // end marks the request as over: nothing more is sent for it.
 func (c *Controller) end(r *request) {
 	if r.held {
@@ -581,20 +566,6 @@
 	c.forget(r)
 }
 
-// forget drops a request that is over and has nothing out, and passes its turn on.
-func (c *Controller) forget(r *request) {
-	if !r.over || c.open(r) {
-		return
-	}
-	delete(c.reqs, r.ID)
-	if r.order != nil {
-		r.order.turn = slices.DeleteFunc(r.order.turn, func(x *request) bool { return x == r })
-		if len(r.order.turn) == 0 && r.order.restUntil <= c.now {
-			delete(c.items, r.Item)
-		}
-	}
-}
-
 // giveUp gives the final answer at once: a refusal where a retry is harmless,
 // else a failure. It is the only place where the controller answers.
 func (c *Controller) giveUp(r *request) {
@@ -809,13 +780,31 @@
 	n.lastAnswer, n.silent, n.failed, n.pause = now, false, 0, 0
 }
 
-// watch marks a node from which answers are overdue by what it used to take.
+// overdue: the attempt has been out for much longer than answers of its node
+// take. It counts neither for the window nor in the emulation. Guards against
+// single lost requests or answers that would block a small window until their
+// deadline. Harm: a node that slows down at a stroke gets a few too many.
+func (c *Controller) overdue(a *attempt) bool {
+	return float64(c.now-a.sentAt) > silentAfter*a.node.rtt+float64(c.slot)
+}
+
+// live is the number of attempts out from which an answer may be expected.
+func (c *Controller) live(n *node) (k float64) {
+	for _, a := range n.out {
+		if !c.overdue(a) {
+			k++
+		}
+	}
+	return k
+}
+
+// watch marks a node as silent if nothing came after an attempt now overdue.
 func (c *Controller) watch(n *node) {
-	if len(n.out) == 0 {
-		return
+	for _, a := range n.out {
+		if a.sentAt > n.lastAnswer && c.overdue(a) {
+			n.silent = true
+		}
 	}
-	since := max(n.lastAnswer, n.out[0].sentAt)
-	n.silent = float64(c.now-since) > silentAfter*n.rtt+float64(c.slot)
 }
 
 // ---- the node list ----
@@ -888,14 +877,3 @@
 	}
 	c.wakeAt(c.askedAt + pause)
 }
-
-// wakeAt makes sure that a timer fires at the time or before.
-func (c *Controller) wakeAt(at time.Duration) {
-	at = max(at, c.now+time.Millisecond)
-	if c.timerSet && c.timerAt <= at {
-		return
-	}
-	c.token++
-	c.timerAt, c.timerSet = at, true
-	c.act(SetTimer{at, c.token})
-}
--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -121,7 +122,6 @@
 	asked      []ask         // of the last second
 	bid        float64
 	bidAt      time.Duration
-	lastItem   string
 	meter      meter
 	sent       []stamp // while cold: units sent
 	usages     []*usage
@@ -184,3 +184,45 @@
 	}
 	return units / max(span, 1), span >= enough
 }
+
+func (v *volume) weight() float64 { return max(v.plan.Weight, 0.01) / v.hosts }
+
+func (n *node) usageOf(v *volume) *usage {
+	for _, u := range n.usages {
+		if u.volume == v {
+			return u
+		}
+	}
+	u := &usage{volume: v}
+	n.usages = append(n.usages, u)
+	return u
+}
+
+func (c *Controller) open(r *request) bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.open })
+}
+
+// forget drops a request that is over and has nothing out, and passes its turn on.
+func (c *Controller) forget(r *request) {
+	if !r.over || c.open(r) {
+		return
+	}
+	delete(c.reqs, r.ID)
+	if r.order != nil {
+		r.order.turn = slices.DeleteFunc(r.order.turn, func(x *request) bool { return x == r })
+		if len(r.order.turn) == 0 && r.order.restUntil <= c.now {
+			delete(c.items, r.Item)
+		}
+	}
+}
+
+// wakeAt makes sure that a timer fires at the time or before.
+func (c *Controller) wakeAt(at time.Duration) {
+	at = max(at, c.now+time.Millisecond)
+	if c.timerSet && c.timerAt <= at {
+		return
+	}
+	c.token++
+	c.timerAt, c.timerSet = at, true
+	c.act(SetTimer{at, c.token})
+}
