--- a/control/control.go
+++ b/control/control.go
@@ -29,7 +29,7 @@
 	flowTrust    = 0.7              // part of window over round trip that minRead is held up to
 	suspectAfter = 3                // failures on end: suspect
 	backoffTop   = 8                // longest pause between attempts at a suspect node, slots
-	coldMargin   = 0.8              // part of the cold budget that is used
+	coldMargin   = 0.5              // part of the cold budget that is used
 	askEarly     = 0.4              // part of the list's longest silence after which it is asked
 	beatsPerSlot = 4                // looks at held requests in a slot
 )
@@ -655,12 +655,12 @@
 
 // coldBudget is this host's part of what a cold node bears within FallSpan: of
 // the units it bears in any case or, if that is more, of the stated multiple of
-// its present capacity, reckoned from the rate that this host gets at nodes.
+// its present capacity, of which this host's part is the rate it gets at nodes.
 func (c *Controller) coldBudget(n *node) float64 {
 	warm := max(0, float64(c.now-n.StartedAt)) / float64(c.set.ColdFor)
 	share := c.set.ColdCapacity + (1-c.set.ColdCapacity)*min(1, warm)
 	able := c.set.FallMultiple * share * c.meanRate(n) * float64(c.set.FallSpan)
-	return coldMargin * max(c.set.ColdBears, able) / float64(c.set.Hosts)
+	return max(c.set.ColdBears/float64(c.set.Hosts), coldMargin*able)
 }
 
 // coldRoom: the units fit in the budget of a cold node.
