--- a/control/control.go
+++ b/control/control.go
@@ -306,7 +306,7 @@
 		if !n.usable() || r.Shard >= 0 && n.Shard != r.Shard || !c.inGroup(r, n) {
 			continue
 		}
-		end := c.emulatedEnd(n, r.Units) + time.Duration(n.rtt)
+		end := c.emulatedEnd(n, r.Units) + time.Duration(n.rtt+n.errors*float64(r.class.Deadline))
 		if n.suspect() || c.cold(n) {
 			end += r.class.Deadline // only when there is nothing better
 		}
@@ -720,6 +720,7 @@
 	switch e.Result {
 	case Done:
 		n.recover(c.now)
+		n.errors -= rttGain * n.errors
 		if e.Elapsed > 0 {
 			part := float64(n.meter.heldFor(c.now)-a.heldFor) / float64(c.now-a.sentAt)
 			n.meter.last(c.now, c.slot, rateMemory).units += r.Units * min(1, part)
@@ -734,7 +735,10 @@
 		} else if float64(len(n.out)+1) >= n.window/2 {
 			n.window = min(windowTop, n.window+1/n.window)
 		}
-	case Error, TimedOut, Reset, Unreachable:
+	case Error:
+		n.errors += rttGain * (1 - n.errors)
+		c.halve(n, a)
+	case TimedOut, Reset, Unreachable:
 		n.failed++
 		c.halve(n, a)
 	case Busy:
@@ -759,10 +763,11 @@
 	}
 }
 
-// suspect: the node answers nothing, or has failed several times on end. New
+// suspect: the node answers nothing, or gave no answer several times on end. New
 // objects go elsewhere, requests that only it can serve are refused at once but
-// for a trickle. Guards against silent, vanished and failing nodes alike, of which
-// an empty queue looks like the quickest. Harm: a node whose answers all
+// for a trickle. Guards against silent, vanished and unreachable nodes alike, of
+// which an empty queue looks like the quickest. Errors do not count: a node that fails
+// some requests serves the others, and only new objects avoid it, by its error share. Harm: a node whose answers all
 // take long for a moment is shunned until its next answer.
 func (n *node) suspect() bool { return n.silent || n.failed >= suspectAfter }
 
@@ -853,7 +858,8 @@
 		i := sort.Search(len(c.order), func(i int) bool { return c.order[i].ID > e.ID })
 		c.order = slices.Insert(c.order, i, n)
 	} else if e.StartedAt > n.StartedAt {
-		n.window, n.meter, n.rtt, n.silent, n.failed, n.pause = windowStart, meter{}, 0, false, 0, 0
+		n.window, n.meter, n.rtt = windowStart, meter{}, 0
+		n.silent, n.failed, n.pause, n.errors = false, 0, 0, 0
 	}
 	n.Node, n.listed = e, e.State != Gone
 }
--- a/control/state.go
+++ b/control/state.go
@@ -117,6 +117,7 @@
 	lastAnswer time.Duration
 	silent     bool
 	failed     int           // failures since the last answer
+	errors     float64       // share of error answers of late
 	pause      time.Duration // between attempts while suspect
 	tryAt      time.Duration // the next one
 	asked      []ask         // of the last second
