--- a/control/control.go
+++ b/control/control.go
@@ -359,10 +359,11 @@
 // leaving one out, and adds up what they earn.
 func (c *Controller) value(n *node, without *request) float64 {
 	at, rate, bid, sum := c.freeAt(n), c.rate(n), c.bid(n), 0.0
+	soonest := c.now + time.Duration(n.rtt)
 	for _, r := range n.held {
 		if r != without {
 			at += time.Duration(r.Units / rate)
-			sum += r.payoff(at) - bid*r.Units
+			sum += r.payoff(max(at, soonest)) - bid*r.Units
 		}
 	}
 	return sum
@@ -437,7 +438,7 @@
 
 // anyLate says that a held request would come late if it left at once.
 func (c *Controller) anyLate(n *node) bool {
-	end := c.now + time.Duration(n.rtt/2)
+	end := c.now + time.Duration(n.rtt)
 	return slices.ContainsFunc(n.held, func(r *request) bool { return end > r.aimAt })
 }
 
