--- a/control/control.go
+++ b/control/control.go
@@ -359,11 +359,10 @@
 // leaving one out, and adds up what they earn.
 func (c *Controller) value(n *node, without *request) float64 {
 	at, rate, bid, sum := c.freeAt(n), c.rate(n), c.bid(n), 0.0
-	soonest := c.now + time.Duration(n.rtt)
 	for _, r := range n.held {
 		if r != without {
 			at += time.Duration(r.Units / rate)
-			sum += r.payoff(max(at, soonest)) - bid*r.Units
+			sum += r.payoff(at) - bid*r.Units
 		}
 	}
 	return sum
@@ -438,7 +437,7 @@
 
 // anyLate says that a held request would come late if it left at once.
 func (c *Controller) anyLate(n *node) bool {
-	end := c.now + time.Duration(n.rtt)
+	end := c.now + time.Duration(n.rtt/2)
 	return slices.ContainsFunc(n.held, func(r *request) bool { return end > r.aimAt })
 }
 
@@ -765,11 +764,11 @@
 }
 
 // suspect: the node answers nothing, or gave no answer several times on end. New
-// objects go elsewhere, requests that only it can serve are refused at once but
-// for a trickle. Guards against silent, vanished and unreachable nodes alike, of
-// which an empty queue looks like the quickest. Errors do not count: a node that fails
-// some requests serves the others, and only new objects avoid it, by its error share. Harm: a node whose answers all
-// take long for a moment is shunned until its next answer.
+// objects go elsewhere, requests that only it can serve are refused at once but for a
+// trickle. Guards against silent, vanished and unreachable nodes alike, of which an
+// empty queue looks like the quickest. Errors do not count: a node that fails some
+// requests serves the others, and only new objects avoid it, by its error share.
+// Harm: a node whose answers all take long for a moment is shunned until the next.
 func (n *node) suspect() bool { return n.silent || n.failed >= suspectAfter }
 
 // backOff puts the next attempt at a suspect node off, twice as long each time.
