--- a/control/control.go
+++ b/control/control.go
@@ -491,21 +491,6 @@
 			continue
 		}
 		c.send(r, n)
-		c.follow(r, n)
-	}
-}
-
-// follow sends held requests for the same item right behind: a node that has just
-// taken the item serves them for much less.
-func (c *Controller) follow(first *request, n *node) {
-	for _, r := range slices.Clone(n.held) {
-		if first.Item == "" || r.Item != first.Item || len(r.attempts) > 0 || c.live(n) >= windowTop ||
-			n.suspect() || !c.turn(r) || !c.limitRoom(r) || !c.coldRoom(n, r.Units) {
-			continue
-		}
-		n.held = slices.DeleteFunc(n.held, func(x *request) bool { return x == r })
-		r.held = false
-		c.send(r, n)
 	}
 }
 
