--- a/control/control.go
+++ b/control/control.go
@@ -500,9 +500,6 @@
 	if n.suspect() {
 		return c.now >= n.tryAt
 	}
-	if n.window < windowFloor {
-		return c.live(n) == 0 && float64(c.now-n.sentAt) >= n.rtt/n.window
-	}
 	return c.live(n) < n.window
 }
 
@@ -523,7 +520,6 @@
 	}
 	r.attempts = append(r.attempts, a)
 	n.out = append(n.out, a)
-	n.sentAt = c.now
 	c.act(Send{ID: r.ID, Node: n.ID})
 }
 
@@ -736,11 +732,8 @@
 		c.told(r.volume, r.Units, e.VolumeUse)
 		if float64(e.Elapsed) > aimForNode*float64(c.slot)*max(1, r.Units/c.set.MeanUnits) {
 			c.halve(n, a)
-			if slow := float64(c.slot) * max(1, r.Units/c.set.MeanUnits); float64(e.Elapsed) > slow && n.window == windowFloor {
-				n.window = windowFloor / 2
-			}
 		} else if float64(len(n.out)+1) >= n.window/2 {
-			n.window = min(windowTop, max(windowFloor, n.window+1/n.window))
+			n.window = min(windowTop, n.window+1/n.window)
 		}
 	case Error:
 		n.errors += rttGain * (1 - n.errors)
--- a/control/state.go
+++ b/control/state.go
@@ -119,7 +119,6 @@
 	failed     int           // failures since the last answer
 	errors     float64       // share of error answers of late
 	pause      time.Duration // between attempts while suspect
-	sentAt     time.Duration // the last attempt
 	tryAt      time.Duration // the next one
 	asked      []ask         // of the last second
 	bid        float64
