--- a/control/control.go
+++ b/control/control.go
@@ -29,7 +29,6 @@
 	flowTrust    = 0.7              // part of window over round trip that minRead is held up to
 	suspectAfter = 3                // failures on end: suspect
 	backoffTop   = 8                // longest pause between attempts at a suspect node, slots
-	lostAfter    = 8                // later attempts answered: an overdue one seems lost
 	coldMargin   = 0.5              // part of the cold budget that is used
 	askEarly     = 0.4              // part of the list's longest silence after which it is asked
 	beatsPerSlot = 4                // looks at held requests in a slot
@@ -721,11 +720,6 @@
 	switch e.Result {
 	case Done:
 		n.recover(c.now)
-		for _, x := range n.out {
-			if x.sentAt < a.sentAt {
-				x.overtaken++
-			}
-		}
 		n.errors -= rttGain * n.errors
 		if e.Elapsed > 0 {
 			part := float64(n.meter.heldFor(c.now)-a.heldFor) / float64(c.now-a.sentAt)
@@ -796,8 +790,7 @@
 // single lost requests or answers that would block a small window until their
 // deadline. Harm: a node that slows down at a stroke gets a few too many.
 func (c *Controller) overdue(a *attempt) bool {
-	size := max(1, a.req.Units/c.set.MeanUnits)
-	return float64(c.now-a.sentAt) > silentAfter*a.node.rtt*size+float64(c.slot)/2
+	return float64(c.now-a.sentAt) > silentAfter*a.node.rtt+float64(c.slot)
 }
 
 // live is the number of attempts out from which an answer may be expected.
@@ -816,24 +809,7 @@
 		if a.sentAt > n.lastAnswer && c.overdue(a) {
 			n.silent = true
 		}
-		if a.overtaken >= lostAfter && c.overdue(a) {
-			c.recall(a)
-		}
-	}
-}
-
-// recall calls off an attempt that seems lost, so that another may follow: nodes
-// serve in turn, and this one has answered several sent later. Guards against lost
-// requests and answers. Harm: a costly request is overtaken too, and runs twice.
-func (c *Controller) recall(a *attempt) {
-	r := a.req
-	inWindow := r.class.Effect == Keyed && c.now < r.attempts[0].sentAt+r.class.Window
-	if !c.set.Cancelling || a.recalled || r.over || r.started || r.class.Effect != Safe && !inWindow ||
-		c.set.MaxAttempts > 0 && len(r.attempts) >= c.set.MaxAttempts || !c.budgetRoom() {
-		return
 	}
-	a.recalled = true
-	c.act(Cancel{r.ID, slices.Index(r.attempts, a)})
 }
 
 // ---- the node list ----
--- a/control/state.go
+++ b/control/state.go
@@ -21,9 +21,6 @@
 	sentAt  time.Duration
 	heldFor time.Duration // the node's meter then
 	open    bool
-
-	overtaken int // attempts sent later and answered
-	recalled  bool
 }
 
 // request is a request taken, until it is over and no attempt of it is out.
