--- a/control/control.go
+++ b/control/control.go
@@ -190,24 +190,17 @@
 	if v.plan == nil {
 		v.plan = &Plan{Name: e.Plan, Weight: 1}
 	}
-	v.part = 1 / v.hosts
 	p := v.plan
 	v.limit = bucket{p.LimitSlack / v.hosts, p.LimitRate / v.hosts, p.LimitBurst / v.hosts, c.now}
-	v.setPart(v.part, c.set.MostUnits)
-	v.reserve.level, v.reserve.at = v.reserve.top, c.now
+	if p.Reserve > 0 {
+		rate := p.Reserve / v.hosts
+		full := rate*usageSpan.Seconds() + c.set.MostUnits
+		v.reserve = bucket{full, rate, full, c.now}
+	}
 	c.volumes[e.Volume] = v
 	return v
 }
 
-func (v *volume) setPart(part, most float64) {
-	v.part = part
-	v.reserve.rate = v.plan.Reserve * part
-	v.reserve.top = 0
-	if v.plan.Reserve > 0 {
-		v.reserve.top = v.reserve.rate*usageSpan.Seconds() + most
-	}
-}
-
 // price sets what the request is worth if answered within its aim at n: class
 // worth x plan factor x units, in full out of the volume's reserve, else at
 // what the share or the rest earn.
@@ -719,6 +712,9 @@
 	r := a.req
 	switch e.Result {
 	case Done:
+		if n.suspect() {
+			c.act(Log{"node " + n.ID + " answers again"})
+		}
 		n.recover(c.now)
 		n.errors -= rttGain * n.errors
 		if e.Elapsed > 0 {
@@ -729,7 +725,6 @@
 			n.rtt = float64(e.Elapsed)
 		}
 		n.rtt += rttGain * (float64(e.Elapsed) - n.rtt)
-		c.told(r.volume, r.Units, e.VolumeUse)
 		if float64(e.Elapsed) > aimForNode*float64(c.slot)*max(1, r.Units/c.set.MeanUnits) {
 			c.halve(n, a)
 		} else if float64(len(n.out)+1) >= n.window/2 {
@@ -740,6 +735,7 @@
 		c.halve(n, a)
 	case TimedOut, Reset, Unreachable:
 		n.failed++
+		c.suspected(n, n.failed != suspectAfter)
 		c.halve(n, a)
 	case Busy:
 		c.halve(n, a)
@@ -754,15 +750,6 @@
 	}
 }
 
-// told corrects this host's part of a volume by what all hosts served for it.
-func (c *Controller) told(v *volume, units float64, use int) {
-	own := v.served.add(c.now, units) / usageSpan.Seconds()
-	if use > 1 && v.plan.Nominal > 0 {
-		all := float64(use-1) / 100 * v.plan.Nominal
-		v.setPart(v.part+0.1*(min(1, max(own/all, 0.5/v.hosts))-v.part), c.set.MostUnits)
-	}
-}
-
 // suspect: the node answers nothing, or gave no answer several times on end. New
 // objects go elsewhere, requests that only it can serve are refused at once but for a
 // trickle. Guards against silent, vanished and unreachable nodes alike, of which an
@@ -771,6 +758,13 @@
 // Harm: a node whose answers all take long for a moment is shunned until the next.
 func (n *node) suspect() bool { return n.silent || n.failed >= suspectAfter }
 
+// suspected tells the on-call staff, once.
+func (c *Controller) suspected(n *node, before bool) {
+	if !before {
+		c.act(Log{"node " + n.ID + " gives no answers: suspect, one attempt now and then"})
+	}
+}
+
 // backOff puts the next attempt at a suspect node off, twice as long each time.
 func (n *node) backOff(now, slot time.Duration) {
 	n.pause = min(max(slot, 2*n.pause), backoffTop*slot)
@@ -807,6 +801,7 @@
 func (c *Controller) watch(n *node) {
 	for _, a := range n.out {
 		if a.sentAt > n.lastAnswer && c.overdue(a) {
+			c.suspected(n, n.silent)
 			n.silent = true
 		}
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -674,3 +674,87 @@
 	}
 	return all
 }
+
+// Sends of r0, r1, ... until the node has been given up on: nothing it was sent
+// is answered (incident i9a2a8a).
+func TestSilentNodeGetsATrickleAndComesBack(t *testing.T) {
+	b := start(t, settings(), entry("n", 0), entry("o", 1))
+	logs := 0
+	step := func(d time.Duration, events ...Event) []Action {
+		got := b.step(d, events...)
+		for _, a := range got {
+			if _, ok := a.(Log); ok {
+				logs++
+			}
+		}
+		return got
+	}
+	var last string
+	sent := 0
+	for i := range 200 {
+		for _, s := range sends(step(10*ms, read(fmt.Sprint("r", i)))) {
+			last, _, _ = strings.Cut(s, ">")
+			if i >= 100 {
+				sent++
+			}
+		}
+	}
+	if sent == 0 || sent > 10 {
+		t.Errorf("%d attempts in the second second of silence, want a trickle", sent)
+	}
+	w := of("write", "w")
+	w.Shard = AnyShard
+	b.want("new object", sends(step(ms, w)), "w>o")
+	step(ms, ended(last, "n", 0, Done))
+	b.want("after an answer", sends(step(ms, read("z"))), "z>n")
+	if logs != 2 {
+		t.Errorf("%d log lines, want one for the silence and one for its end", logs)
+	}
+}
+
+// An unreachable node has nothing queued; new objects must not flock to it
+// (incidents i9a2a8a, i28f911).
+func TestUnreachableNodeGetsNoNewObjects(t *testing.T) {
+	b := start(t, settings(), entry("n", 0), entry("o", 1))
+	bad := 0
+	for i := range 40 {
+		w := of("write", fmt.Sprint("w", i))
+		w.Shard = AnyShard
+		for again := sends(b.step(5*ms, w)); len(again) > 0; {
+			id, at, _ := strings.Cut(again[0], ">")
+			o := ended(id, at, len(b.c.reqs[id].attempts)-1, Done)
+			if at == "n" {
+				o.Result, o.Closed = Unreachable, false
+				bad++
+			}
+			again = sends(b.step(ms, o))
+		}
+	}
+	if bad > suspectAfter {
+		t.Errorf("%d new objects tried at the unreachable node", bad)
+	}
+}
+
+// One lost answer must not block a window of one (incident i9a2a8a).
+func TestLostAnswerDoesNotBlock(t *testing.T) {
+	b := start(t, settings(), entry("n", 0))
+	n := b.c.nodes["n"]
+	n.window, n.rtt = windowFloor, float64(10*ms)
+	b.step(ms, read("lost"))
+	b.want("one out", sends(b.step(ms, read("a"))))
+	b.want("overdue", sends(b.step(200*ms, TimerFired{b.c.token})), "a>n")
+}
+
+// Errors are no reason to shun the only node that serves a read.
+func TestErrorsDoNotMakeSuspect(t *testing.T) {
+	b := start(t, settings(), entry("n", 0))
+	for i := range 20 {
+		id := fmt.Sprint("r", i)
+		for range sends(b.step(20*ms, read(id))) {
+			o := ended(id, "n", 0, Error)
+			o.Closed = true
+			b.step(ms, o)
+		}
+	}
+	b.want("read", sends(b.step(20*ms, read("a"))), "a>n")
+}
--- a/control/state.go
+++ b/control/state.go
@@ -55,10 +55,8 @@
 type volume struct {
 	plan    *Plan
 	hosts   float64
-	part    float64 // estimate of this host's part of the volume's traffic
 	reserve bucket
 	limit   bucket
-	served  fading
 }
 
 // bucket is a store of units that fills at a rate up to a top.
