--- a/control/control.go
+++ b/control/control.go
@@ -784,7 +784,7 @@
 // single lost requests or answers that would block a small window until their
 // deadline. Harm: a node that slows down at a stroke gets a few too many.
 func (c *Controller) overdue(a *attempt) bool {
-	return float64(c.now-a.sentAt) > silentAfter*a.node.rtt+2*float64(c.slot)
+	return float64(c.now-a.sentAt) > silentAfter*a.node.rtt+float64(c.slot)
 }
 
 // live is the number of attempts out from which an answer may be expected.
