--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -192,10 +192,7 @@
 }
 
 func (r *Reader) targets(f *fields, bank int) control.NodeList {
-	kind, ok := listKinds[f.word()]
-	if !ok {
-		f.fail(errors.New("unknown kind of list"))
-	}
+	kind := lookup(f, "kind of list", listKinds)
 	if kind == control.ListFailed {
 		return control.NodeList{Kind: kind}
 	}
@@ -310,24 +307,20 @@
 	"econnreset": control.Reset, "ecanceled": control.Cancelled, "skipped": control.NotSent,
 }
 
-func (f *fields) result() control.Result {
-	w := f.word()
-	x, ok := results[w]
-	if !ok {
-		f.fail(fmt.Errorf("unknown outcome %q", w))
-	}
-	return x
-}
+func (f *fields) result() control.Result { return lookup(f, "outcome", results) }
 
 var states = map[string]control.NodeState{
 	"ready": control.Ready, "draining": control.Draining, "gone": control.Gone,
 }
 
-func (f *fields) state() control.NodeState {
+func (f *fields) state() control.NodeState { return lookup(f, "state", states) }
+
+// lookup takes a word that must stand in a table.
+func lookup[T any](f *fields, what string, table map[string]T) T {
 	w := f.word()
-	x, ok := states[w]
+	x, ok := table[w]
 	if !ok {
-		f.fail(fmt.Errorf("unknown state %q", w))
+		f.fail(fmt.Errorf("unknown %s %q", what, w))
 	}
 	return x
 }
