--- a/control/control.go
+++ b/control/control.go
@@ -725,13 +725,7 @@
 			n.rtt = float64(e.Elapsed)
 		}
 		n.rtt += rttGain * (float64(e.Elapsed) - n.rtt)
-		took := float64(e.Elapsed) / max(1, r.Units/c.set.MeanUnits)
-		if n.base == 0 || took < n.base {
-			n.base += 0.3 * (took - n.base)
-		} else {
-			n.base += 0.02 * (took - n.base)
-		}
-		if took > max(aimForNode*float64(c.slot), 2.5*n.base) {
+		if float64(e.Elapsed) > aimForNode*float64(c.slot)*max(1, r.Units/c.set.MeanUnits) {
 			c.halve(n, a)
 		} else if float64(len(n.out)+1) >= n.window/2 {
 			n.window = min(windowTop, n.window+1/n.window)
@@ -859,7 +853,7 @@
 		i := sort.Search(len(c.order), func(i int) bool { return c.order[i].ID > e.ID })
 		c.order = slices.Insert(c.order, i, n)
 	} else if e.StartedAt > n.StartedAt {
-		n.window, n.meter, n.rtt, n.base = windowStart, meter{}, 0, 0
+		n.window, n.meter, n.rtt = windowStart, meter{}, 0
 		n.silent, n.failed, n.pause, n.errors = false, 0, 0, 0
 	}
 	n.Node, n.listed = e, e.State != Gone
--- a/control/state.go
+++ b/control/state.go
@@ -117,7 +117,6 @@
 	failed     int           // failures since the last answer
 	errors     float64       // share of error answers of late
 	pause      time.Duration // between attempts while suspect
-	base       float64       // round trip of a mean request with little queued, ns
 	tryAt      time.Duration // the next one
 	asked      []ask         // of the last second
 	bid        float64
