--- a/control/control.go
+++ b/control/control.go
@@ -295,7 +295,12 @@
 func (c *Controller) target(r *request) *node {
 	var best *node
 	var bestEnd time.Duration
-	for _, n := range c.order {
+	first := 0
+	if r.Shard < 0 && len(c.order) > 0 {
+		first = c.rng.Intn(len(c.order)) // hosts that know as little choose apart
+	}
+	for i := range c.order {
+		n := c.order[(first+i)%len(c.order)]
 		if !n.usable() || r.Shard >= 0 && n.Shard != r.Shard || !c.inGroup(r, n) {
 			continue
 		}
