--- a/control/control.go
+++ b/control/control.go
@@ -25,8 +25,13 @@
 	aimForNode   = 0.15             // part of the aim that an attempt may take before the window halves
 	rttGain      = 0.15             // weight of a new round trip in the mean
 	usageSpan    = time.Second      // worth is counted by the second
+	shareOver    = 1.5              // times what a volume is sized for: taken as its share
 	silentAfter  = 3.0              // round trips (and an aim) without any answer: suspect
-	flowTrust    = 0.7              // part of window over round trip that minRead is held up to
+	unitGain     = 0.05             // step a second of the unqueued time a unit, which is a low quantile
+	unitQuantile = 0.3              // of the times a unit that answers took
+	waitGain     = 0.5              // weight of a new observation of the backlog
+	waitFade     = 2 * time.Second  // the backlog last seen is forgotten over this long
+	waitFree     = 1.0              // mean requests' work that is no backlog yet
 	suspectAfter = 3                // failures on end: suspect
 	backoffTop   = 8                // longest pause between attempts at a suspect node, slots
 	coldMargin   = 0.5              // part of the cold budget that is used
@@ -57,6 +62,9 @@
 	timerSet bool
 	started  bool
 
+	wait       delay   // backlog met at nodes in general
+	unit       low     // unqueued ns a unit at nodes in general
+	unitWorth  float64 // mean worth a unit of the requests taken, in full
 	subscribed bool
 	askedAt    time.Duration
 }
@@ -177,8 +185,9 @@
 
 // ---- worth ----
 
-// volumeOf returns the account of the request's volume. The host's part of
-// reserve and limit is one in the hosts of the volume. The limit's store starts
+// volumeOf returns the account of the request's volume. Of reserve and share this
+// host has the part that the leading one of the volume's hosts tends to have; of
+// the limit, which binds, one in the hosts. The limit's store starts
 // at its slack only: a host that was killed may just have spent its part, and
 // cannot know it.
 func (c *Controller) volumeOf(e Request) *volume {
@@ -186,95 +195,51 @@
 	if v != nil {
 		return v
 	}
-	v = &volume{plan: c.plans[e.Plan], hosts: float64(max(1, e.Hosts))}
+	v = &volume{plan: c.plans[e.Plan]}
 	if v.plan == nil {
 		v.plan = &Plan{Name: e.Plan, Weight: 1}
 	}
-	p := v.plan
-	v.limit = bucket{p.LimitSlack / v.hosts, p.LimitRate / v.hosts, p.LimitBurst / v.hosts, c.now}
-	if p.Reserve > 0 {
-		rate := p.Reserve / v.hosts
-		full := rate*usageSpan.Seconds() + c.set.MostUnits
-		v.reserve = bucket{full, rate, full, c.now}
-	}
+	p, hosts := v.plan, float64(max(1, e.Hosts))
+	v.limit = bucket{p.LimitSlack / hosts, p.LimitRate / hosts, p.LimitBurst / hosts, c.now}
+	v.reserve = c.due(p.Reserve / math.Sqrt(hosts))
+	v.share = c.due(max(0, shareOver*p.Nominal-p.Reserve) / math.Sqrt(hosts))
 	c.volumes[e.Volume] = v
 	return v
 }
 
-// price sets what the request is worth if answered within its aim at n: class
+// due is a store of what is due at a rate: it holds a second of it and one largest request.
+func (c *Controller) due(rate float64) bucket {
+	if rate == 0 {
+		return bucket{}
+	}
+	full := rate*usageSpan.Seconds() + c.set.MostUnits
+	return bucket{full, rate, full, c.now}
+}
+
+// price sets what the request is worth if answered within its aim: class
 // worth x plan factor x units, in full out of the volume's reserve, else at
-// what the share or the rest earn.
-func (c *Controller) price(r *request, n *node) {
+// what the share or the rest earn. The share is taken as somewhat more than the
+// volume is sized for: what others leave at a node, no host can see. Guards
+// against a surging volume that crowds out those which ask for what is theirs.
+func (c *Controller) price(r *request) {
 	v := r.volume
 	r.worth = r.class.Worth * r.Units / c.set.MeanUnits
 	if v.plan.Price > 0 {
 		r.worth *= v.plan.Price
 	}
+	c.unitWorth += rttGain * (r.worth/r.Units - c.unitWorth)
 	if c.set.ShareWorth == 0 && c.set.SpareWorth == 0 {
 		return
 	}
-	if v.reserve.fill(c.now) >= r.Units {
-		r.reserved = true
-		v.reserve.level -= r.Units
-		n.reserved.add(c.now, r.Units)
-		return
-	}
-	u := n.usageOf(v)
-	u.asked.add(c.now, r.Units)
-	took := u.took.add(c.now, 0)
-	r.shared = u
-	if took+r.Units/2 <= c.shareLevel(n)*v.weight() {
+	switch {
+	case v.reserve.take(c.now, r.Units):
+		r.paid = &v.reserve
+	case v.share.take(c.now, r.Units):
+		r.paid = &v.share
 		r.worth *= c.set.ShareWorth
-	} else {
+	default:
 		r.worth *= c.set.SpareWorth
 	}
-	u.took.add(c.now, r.Units)
-}
-
-// unprice gives back what price took for a request that was turned away unsent.
-func (c *Controller) unprice(r *request, n *node) {
-	if r.reserved {
-		r.volume.reserve.level += r.Units
-		n.reserved.add(c.now, -r.Units)
-		r.reserved = false
-	}
-	if r.shared != nil {
-		r.shared.took.add(c.now, -r.Units)
-		r.shared = nil
-	}
-}
-
-// shareLevel is the units a second for each unit of weight that the volumes
-// asking at the node can get of what this host gets there beyond the reserves.
-func (c *Controller) shareLevel(n *node) float64 {
-	room := c.rate(n)*1e9 - n.reserved.add(c.now, 0)
-	weights := 0.0
-	for _, u := range n.usages {
-		u.asked.add(c.now, 0)
-		if u.asked.sum > 0.01 {
-			weights += u.volume.weight()
-		}
-	}
-	level := 0.0
-	for range 4 { // a few rounds of filling come close enough
-		if weights <= 0 || room <= 0 {
-			break
-		}
-		level = room / weights
-		restRoom, restWeights := c.rate(n)*1e9-n.reserved.sum, 0.0
-		for _, u := range n.usages {
-			if u.asked.sum > level*u.volume.weight() {
-				restWeights += u.volume.weight()
-			} else {
-				restRoom -= u.asked.sum
-			}
-		}
-		if restWeights == 0 {
-			return math.Inf(1)
-		}
-		room, weights = restRoom, restWeights
-	}
-	return level
 }
 
 // ---- placement ----
@@ -330,7 +295,50 @@
 		units += a.req.Units
 	}
 	units -= done
-	return c.now + time.Duration(units/c.rate(n))
+	return c.now + time.Duration(max(units/c.rate(n), c.backlog(n)))
+}
+
+// backlog is the wait that a new attempt meets at the node, ns: the one last seen
+// there, fading with age, or what an attempt has by now waited that none sent
+// later overtook. Guards against queues made of other hosts' work, of which each
+// host adds little and the emulation of its own knows nothing; it sees any cause
+// that makes a node slow to begin. Harm: a costly request looks like a backlog
+// for a moment.
+func (c *Controller) backlog(n *node) float64 {
+	w := n.wait.now(c.now, waitFade) + c.wait.now(c.now, waitFade)*(1-n.wait.trust(c.now, waitFade))
+	for _, a := range n.out {
+		if a.sentAt > n.lastSent && !c.overdue(a) {
+			w = max(w, float64(c.now-a.sentAt)-c.unitTime(n)*a.req.Units)
+		}
+	}
+	return w
+}
+
+// noise is a backlog no longer than what one request of more work than most adds.
+func (c *Controller) noise(n *node) float64 { return waitFree * c.set.MeanUnits * c.unitTime(n) }
+
+// unitTime is the unqueued time a unit at the node: its own, which starts at that
+// of nodes in general.
+func (c *Controller) unitTime(n *node) float64 {
+	if n.unit.seen > 0 {
+		return n.unit.value
+	}
+	return c.unit.value
+}
+
+// observe books the round trip of an answer: the backlog that it met and the time
+// a unit takes without one.
+func (c *Controller) observe(n *node, a *attempt, took time.Duration) float64 {
+	unit := float64(took) / a.req.Units
+	c.unit.add(c.now, unit, unitQuantile, unitGain)
+	if n.unit.seen == 0 {
+		n.unit = c.unit
+	}
+	wait := max(0, float64(took)-n.unit.value*a.req.Units)
+	n.unit.add(c.now, unit, unitQuantile, unitGain)
+	c.wait.add(c.now, min(wait, float64(c.slot)), waitGain/4, waitFade, 0)
+	n.lastSent = max(n.lastSent, a.sentAt)
+	return n.wait.add(c.now, wait, waitGain, waitFade, c.wait.now(c.now, waitFade))
 }
 
 // emulatedEnd is when further units would end behind all that is held and out.
@@ -373,8 +381,10 @@
 // made the node short. Harm: if minRead is measured too low, too much is refused;
 // the trickle and a free window are therefore not subject to it.
 func (c *Controller) bid(n *node) float64 {
+	full := min(1, c.backlog(n)/float64(c.slot))
+	crowd := full * c.unitWorth
 	if c.now < n.bidAt+c.slot/beatsPerSlot {
-		return n.bid
+		return max(n.bid, crowd)
 	}
 	n.bidAt, n.bid = c.now, 0
 	n.asked = slices.DeleteFunc(n.asked, func(a ask) bool { return c.now-a.at > usageSpan })
@@ -387,7 +397,7 @@
 			break
 		}
 	}
-	return n.bid
+	return max(n.bid, crowd)
 }
 
 // admit holds the request at the node and lets the emulation decide: as long
@@ -395,7 +405,7 @@
 // it, the one whose absence earns most is refused: the newcomer or a held
 // request of lower worth.
 func (c *Controller) admit(r *request, n *node) {
-	c.price(r, n)
+	c.price(r)
 	n.asked = append(n.asked, ask{c.now, max(0, r.payoff(c.now)) / r.Units, r.Units})
 	r.node, r.held = n, true
 	i := sort.Search(len(n.held), func(i int) bool { return n.held[i].deadline > r.deadline })
@@ -411,7 +421,8 @@
 		if n.suspect() && len(n.held) == 1 && c.now >= n.tryAt {
 			return
 		}
-		if !n.suspect() && float64(len(n.held))+c.live(n) < n.window+1 && !c.anyLate(n) {
+		if !n.suspect() && float64(len(n.held))+c.live(n) < n.window+1 && !c.anyLate(n) &&
+			c.backlog(n) <= c.noise(n) {
 			return
 		}
 		all := c.value(n, nil)
@@ -435,8 +446,10 @@
 
 // anyLate says that a held request would come late if it left at once.
 func (c *Controller) anyLate(n *node) bool {
-	end := c.now + time.Duration(n.rtt/2)
-	return slices.ContainsFunc(n.held, func(r *request) bool { return end > r.aimAt })
+	end := c.now + time.Duration(c.backlog(n))
+	return slices.ContainsFunc(n.held, func(r *request) bool {
+		return end+time.Duration(c.unitTime(n)*r.Units) > r.aimAt
+	})
 }
 
 // ---- departure ----
@@ -556,8 +569,9 @@
 	if r.held {
 		r.held = false
 		r.node.held = slices.DeleteFunc(r.node.held, func(x *request) bool { return x == r })
-		if len(r.attempts) == 0 {
-			c.unprice(r, r.node)
+		if len(r.attempts) == 0 && r.paid != nil { // turned away unsent
+			r.paid.level += r.Units
+			r.paid = nil
 		}
 	}
 	r.over = true
@@ -687,8 +701,8 @@
 	if !ok && n.rtt == 0 {
 		r = c.meanRate(n)
 	}
-	if n.rtt > 0 && !n.suspect() {
-		r = max(r, flowTrust*n.window*c.set.MeanUnits/n.rtt)
+	if u := c.unitTime(n); u > 0 && !n.suspect() {
+		r = max(r, 1/u)
 	}
 	if c.cold(n) && c.set.FallSpan > 0 {
 		r = min(r, c.coldBudget(n)/float64(c.set.FallSpan))
@@ -730,7 +744,7 @@
 			n.rtt = float64(e.Elapsed)
 		}
 		n.rtt += rttGain * (float64(e.Elapsed) - n.rtt)
-		if float64(e.Elapsed) > aimForNode*float64(c.slot)*max(1, r.Units/c.set.MeanUnits) {
+		if c.observe(n, a, e.Elapsed) > aimForNode*float64(c.slot) {
 			c.halve(n, a)
 		} else if float64(len(n.out)+1) >= n.window/2 {
 			n.window = min(windowTop, n.window+1/n.window)
@@ -740,6 +754,9 @@
 		c.halve(n, a)
 	case TimedOut, Reset, Unreachable:
 		n.failed++
+		if e.Result == TimedOut && a.sentAt > n.lastSent {
+			n.wait.add(c.now, float64(e.Elapsed), waitGain, waitFade, c.wait.now(c.now, waitFade))
+		}
 		c.suspected(n, n.failed != suspectAfter)
 		c.halve(n, a)
 	case Busy:
--- a/control/state.go
+++ b/control/state.go
@@ -33,8 +33,7 @@
 	deadline time.Duration
 	aimAt    time.Duration
 	worth    float64
-	reserved bool // its units came out of the reserve
-	shared   *usage
+	paid     *bucket // what its units came out of
 	seq      int64
 	held     bool
 	over     bool
@@ -44,18 +43,11 @@
 	doubt    *attempt // first attempt that may have run
 }
 
-// usage is what a volume asks and gets at one node beyond its reserve, units
-// in the last second or so.
-type usage struct {
-	volume      *volume
-	asked, took fading
-}
-
 // volume is a volume's account at this host.
 type volume struct {
 	plan    *Plan
-	hosts   float64
 	reserve bucket
+	share   bucket
 	limit   bucket
 }
 
@@ -71,18 +63,56 @@
 	return b.level
 }
 
-// fading is a sum that forgets over usageSpan.
-type fading struct {
-	sum float64
-	at  time.Duration
+// take takes units out of the store if it holds them.
+func (b *bucket) take(now time.Duration, units float64) bool {
+	if b.fill(now) < units {
+		return false
+	}
+	b.level -= units
+	return true
+}
+
+// delay is a mean of delays seen, ns, that fades with age. Of each two in a row
+// the lesser counts: a queue delays all, a costly request only itself.
+type delay struct {
+	mean, last float64
+	at         time.Duration
+}
+
+// trust is the part of the mean that age has left.
+func (d *delay) trust(now, fade time.Duration) float64 {
+	return math.Exp(-float64(now-d.at) / float64(fade))
+}
+
+func (d *delay) now(now, fade time.Duration) float64 { return d.mean * d.trust(now, fade) }
+
+// add books a delay. If the last one is old, what is usual elsewhere stands in for it.
+func (d *delay) add(now time.Duration, seen, gain float64, fade time.Duration, usual float64) float64 {
+	t := d.trust(now, fade)
+	lesser := min(seen, max(d.last*t, usual))
+	old := d.mean*t + usual*(1-t)
+	d.mean, d.last, d.at = old+gain*(lesser-old), seen, now
+	return lesser
 }
 
-func (f *fading) add(now time.Duration, x float64) float64 {
-	if f.sum != 0 {
-		f.sum *= math.Exp(-float64(now-f.at) / float64(time.Second))
+// low follows a low quantile of what is seen, in steps that are the smaller the
+// more comes in a second: what lasts for seconds only must not become the usual.
+type low struct {
+	value float64
+	seen  float64
+	at    time.Duration
+}
+
+func (l *low) add(now time.Duration, x, quantile, gain float64) {
+	if l.seen++; l.seen == 1 {
+		l.value = x
+	}
+	step := max(gain*min(1, (now-l.at).Seconds()), 1/(l.seen+1))
+	if l.at = now; x < l.value {
+		l.value *= 1 - step*(1-quantile)
+	} else {
+		l.value *= 1 + step*quantile
 	}
-	f.at, f.sum = now, f.sum+x
-	return f.sum
 }
 
 // itemQueue keeps the turn of the requests with one item.
@@ -111,7 +141,10 @@
 	out        []*attempt // by time sent
 	window     float64
 	halvedAt   time.Duration
-	rtt        float64 // mean round trip, ns; 0: none yet
+	rtt        float64       // mean round trip, ns; 0: none yet
+	unit       low           // unqueued ns a unit
+	wait       delay         // backlog met there
+	lastSent   time.Duration // when the latest attempt that was answered left
 	lastAnswer time.Duration
 	silent     bool
 	failed     int           // failures since the last answer
@@ -123,8 +156,6 @@
 	bidAt      time.Duration
 	meter      meter
 	sent       []stamp // while cold: units sent
-	usages     []*usage
-	reserved   fading // units admitted out of reserves
 }
 
 // usable says that new work may go to the node: the drain rule's only gate.
@@ -184,19 +215,6 @@
 	return units / max(span, 1), span >= enough
 }
 
-func (v *volume) weight() float64 { return max(v.plan.Weight, 0.01) / v.hosts }
-
-func (n *node) usageOf(v *volume) *usage {
-	for _, u := range n.usages {
-		if u.volume == v {
-			return u
-		}
-	}
-	u := &usage{volume: v}
-	n.usages = append(n.usages, u)
-	return u
-}
-
 func (c *Controller) open(r *request) bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.open })
 }
