--- a/control/control.go
+++ b/control/control.go
@@ -231,6 +231,7 @@
 	if c.set.ShareWorth == 0 && c.set.SpareWorth == 0 {
 		return
 	}
+	asked := v.ask(c.now, r.Units, usageSpan)
 	switch {
 	case v.reserve.take(c.now, r.Units):
 		r.paid = &v.reserve
@@ -238,7 +239,8 @@
 		r.paid = &v.share
 		r.worth *= c.set.ShareWorth
 	default:
-		r.worth *= c.set.SpareWorth
+		likely := min(1, (v.share.rate+v.reserve.rate)/asked) // part of what it asks that may be inside
+		r.worth *= c.set.SpareWorth + likely*(c.set.ShareWorth-c.set.SpareWorth)
 	}
 }
 
@@ -382,11 +384,11 @@
 // value emulates the node over out and held requests, earliest deadline first,
 // leaving one out, and adds up what they earn.
 func (c *Controller) value(n *node, without *request) float64 {
-	at, rate, sum := c.freeAt(n), c.rate(n), 0.0
+	at, rate, queued, sum := c.freeAt(n), c.rate(n), c.backlog(n), 0.0
 	for _, r := range n.held {
 		if r != without {
 			at += time.Duration(r.Units / rate)
-			sum += r.payoff(at) - c.bid(r, at)*r.Units
+			sum += r.payoff(at) - c.bid(r, at, queued)*r.Units
 		}
 	}
 	return sum
@@ -397,9 +399,11 @@
 // while nodes in general have no backlog. Guards against a queue in which all come
 // late: the longer it is, the more a request must bring, whatever made the node short.
 // Harm: a node that pauses refuses what is worth little although it had time for it.
-func (c *Controller) bid(r *request, end time.Duration) float64 {
-	full := min(1, float64(end-c.now)/float64(max(r.class.Aim, c.slot)))
-	return full * max(full, min(2, generalFull*c.general()/float64(c.slot))) * c.unitWorth
+func (c *Controller) bid(r *request, end time.Duration, queued float64) float64 {
+	slot := float64(c.slot)
+	full := min(1, queued/slot+(float64(end-c.now)-queued)/max(float64(r.class.Aim), slot))
+	general := max(0, c.general()-waitFree/2*c.set.MeanUnits*c.unit.value) / slot
+	return full * max(full, min(2, generalFull*general)) * c.unitWorth
 }
 
 // dropOld drops what nothing can refer to any more, once in a while.
--- a/control/state.go
+++ b/control/state.go
@@ -88,9 +88,18 @@
 	plan    *Plan
 	reserve bucket
 	share   bucket
+	asked   float64 // units of late
+	askedAt time.Duration
 	limit   bucket
 }
 
+// ask adds units to what the volume has asked of late and returns units a second.
+func (v *volume) ask(now time.Duration, units float64, span time.Duration) float64 {
+	v.asked = v.asked*math.Exp(-float64(now-v.askedAt)/float64(span)) + units
+	v.askedAt = now
+	return v.asked / span.Seconds()
+}
+
 // bucket is a store of units that fills at a rate up to a top.
 type bucket struct {
 	level, rate, top float64
