Cold budget as credit that sums up; reported queue bounds a backlog; general backlog learnt quicker

Change: per host an equal part of what a cold node always bears, growing as it warms, and of the stated multiple the part that this host had of the shard's work before; no node has served more than it can, so the parts sum up. Carried as credit, starting apart by a random part of a request.

--- a/control/control.go
+++ b/control/control.go
@@ -3,10 +3,6 @@
 // The decisions. The interface (settings, events, actions) is in api.go, the state in
 // state.go.
 //
-// The file follows a request's life: tuned values, state, events in, worth,
-// placement, emulation and admission, departure, outcomes, final answers, the
-// guards of the rules, the measured rate, the window, the node list.
-
 import (
 	"maps"
 	"math"
@@ -41,6 +37,8 @@
 	coldMargin   = 0.5              // part of the cold budget that is used
 	askEarly     = 0.4              // part of the list's longest silence after which it is asked
 	beatsPerSlot = 4                // looks at held requests in a slot
+
+	noAnswers = " gives no answers: suspect, one attempt now and then"
 )
 
 // New checks the settings and returns a controller that has seen nothing yet.
@@ -52,7 +50,7 @@
 		set: set, rng: rand.New(rand.NewSource(seed)),
 		classes: map[string]*class{}, plans: map[string]*Plan{}, reqs: map[string]*request{},
 		nodes: map[string]*node{}, volumes: map[string]*volume{}, items: map[string]*itemQueue{},
-		unserved: map[tryKey]time.Duration{},
+		unserved: map[tryKey]time.Duration{}, served: map[int]flow{},
 	}
 	c.set.Hosts = max(1, set.Hosts)
 	if c.set.MeanUnits == 0 {
@@ -108,7 +106,7 @@
 				c.timerSet = false
 			}
 		case NodeList:
-			c.list(e)
+			again = append(again, c.list(e)...)
 		}
 	}
 	for _, r := range append(again, arrivals...) {
@@ -209,10 +207,7 @@
 
 // due is a store of what is due at a rate: it holds a second of it and one largest request.
 func (c *Controller) due(rate float64) bucket {
-	if rate == 0 {
-		return bucket{}
-	}
-	full := rate*usageSpan.Seconds() + c.set.MostUnits
+	full := rate*usageSpan.Seconds() + min(c.set.MostUnits, 1e6*rate)
 	return bucket{full, rate, full, c.now}
 }
 
@@ -231,7 +226,7 @@
 	if c.set.ShareWorth == 0 && c.set.SpareWorth == 0 {
 		return
 	}
-	asked := v.ask(c.now, r.Units, usageSpan)
+	v.asked = v.asked.add(c.now, r.Units, usageSpan)
 	switch {
 	case v.reserve.take(c.now, r.Units):
 		r.paid = &v.reserve
@@ -239,7 +234,8 @@
 		r.paid = &v.share
 		r.worth *= c.set.ShareWorth
 	default:
-		likely := min(1, (v.share.rate+v.reserve.rate)/asked) // part of what it asks that may be inside
+		dealt := (v.share.rate + v.reserve.rate) * usageSpan.Seconds()
+		likely := min(1, dealt/v.asked.sum) // part of what it asks that may be inside
 		r.worth *= c.set.SpareWorth + likely*(c.set.ShareWorth-c.set.SpareWorth)
 	}
 }
@@ -297,7 +293,7 @@
 			units += a.req.Units
 		}
 	}
-	return c.now + time.Duration(max(units/c.rate(n), c.backlog(n)))
+	return c.now + max(time.Duration(max(units/c.rate(n), c.backlog(n))), c.coldWait(n))
 }
 
 // backlog is the wait that a new attempt meets at the node, ns: the one last seen
@@ -348,19 +344,31 @@
 
 // observe books the round trip of an answer: the backlog that it met and the time
 // a unit takes without one.
-func (c *Controller) observe(n *node, a *attempt, took time.Duration) float64 {
+func (c *Controller) observe(n *node, a *attempt, took time.Duration, load []float64) float64 {
 	unit := float64(took) / a.req.Units
 	c.unit.add(c.now, unit, unitQuantile, unitGain)
 	if n.unit.seen == 0 {
 		n.unit = c.unit
 	}
 	wait := max(0, float64(took)-n.unit.value*a.req.Units)
+	if w, ok := c.reported(load); ok {
+		wait = min(wait, w)
+	}
 	n.unit.add(c.now, unit, unitQuantile, unitGain)
-	c.wait.add(c.now, min(wait, float64(c.slot)), waitGain/4, waitFade, 0)
+	c.wait.add(c.now, min(wait, float64(c.slot)), waitGain/2, waitFade, 0)
 	n.lastSent, c.lastSent = max(n.lastSent, a.sentAt), max(c.lastSent, a.sentAt)
 	return n.wait.add(c.now, wait, waitGain, waitFade, c.general())
 }
 
+// reported is the most that the load report of an answer lets a wait be.
+func (c *Controller) reported(load []float64) (wait float64, ok bool) {
+	q, l := slices.Index(c.set.LoadFields, "queue"), slices.Index(c.set.LoadFields, "latency_ms")
+	if q < 0 || l < 0 || len(load) <= max(q, l) || !(load[q] >= 0) || !(load[l] > 0) {
+		return 0, false
+	}
+	return (load[q] + 1) * load[l] * float64(time.Millisecond), true
+}
+
 // emulatedEnd is when further units would end behind all that is held and out.
 func (c *Controller) emulatedEnd(n *node, units float64) time.Duration {
 	for _, r := range n.held {
@@ -473,7 +481,11 @@
 	wake := time.Duration(math.MaxInt64)
 	for _, n := range c.order {
 		c.watch(n)
-		c.expire(n)
+		for _, r := range slices.Clone(n.held) {
+			if r.deadline <= c.now {
+				c.giveUp(r)
+			}
+		}
 		c.shed(n)
 		c.fill(n)
 		n.meter.saturated(c.now, c.slot, rateMemory, len(n.held) > 0)
@@ -489,15 +501,6 @@
 	}
 }
 
-// expire gives up on held requests whose time is up.
-func (c *Controller) expire(n *node) {
-	for _, r := range slices.Clone(n.held) {
-		if r.deadline <= c.now {
-			c.giveUp(r)
-		}
-	}
-}
-
 // fill sends what the window has room for.
 func (c *Controller) fill(n *node) {
 	for i := 0; i < len(n.held) && c.windowRoom(n); {
@@ -506,7 +509,7 @@
 			i++
 			continue
 		}
-		if !c.coldRoom(n, r.Units) {
+		if c.coldWait(n) > 0 {
 			return
 		}
 		n.held = slices.Delete(n.held, i, i+1)
@@ -538,7 +541,7 @@
 		r.volume.limit.level -= r.Units
 	}
 	if c.cold(n) {
-		n.sent = append(n.sent, stamp{c.now, r.Units})
+		n.credit -= r.Units
 	}
 	if n.suspect() {
 		n.backOff(c.now, c.slot)
@@ -680,27 +683,38 @@
 	return c.set.ColdFor > 0 && n.StartedAt != 0 && c.now < n.StartedAt+c.set.ColdFor
 }
 
-// coldBudget is this host's part of what a cold node bears within FallSpan: of
-// the units it bears in any case or, if that is more, of the stated multiple of
-// its present capacity, of which this host's part is the rate it gets at nodes.
-func (c *Controller) coldBudget(n *node) float64 {
+// warmth is the part of its capacity that a cold node has at least.
+func (c *Controller) warmth(n *node) float64 {
 	warm := max(0, float64(c.now-n.StartedAt)) / float64(c.set.ColdFor)
-	share := c.set.ColdCapacity + (1-c.set.ColdCapacity)*min(1, warm)
-	able := c.set.FallMultiple * share * c.meanRate(n) * float64(c.set.FallSpan)
-	return max(c.set.ColdBears/float64(c.set.Hosts), coldMargin*able)
+	return c.set.ColdCapacity + (1-c.set.ColdCapacity)*min(1, warm)
 }
 
-// coldRoom: the units fit in the budget of a cold node.
-func (c *Controller) coldRoom(n *node, units float64) bool {
-	if !c.cold(n) {
-		return true
+// coldRate is the units a second that this host may send to a cold node: a part of
+// what the node bears in any case, which grows as the node warms, in equal parts for
+// all hosts; and of the stated multiple of its capacity the part that this host had of
+// its shard's work before. No node has served more than its capacity, so the hosts'
+// parts come to no more than the whole, however many they are.
+func (c *Controller) coldRate(n *node) float64 {
+	warmth := c.warmth(n)
+	bears := c.set.ColdBears / float64(c.set.Hosts) / c.set.FallSpan.Seconds()
+	had := max(0, c.served[n.Shard].sum-c.set.MeanUnits/2) / rateMemory.Seconds() // seen after one came
+	return coldMargin * warmth * (bears/max(c.set.ColdCapacity, 0.01) + c.set.FallMultiple*had)
+}
+
+// coldWait is how long a cold node is to be left alone: until the credit that fills at
+// this host's rate there is not negative. Each request takes its units; a host's part
+// may be far less than one, so the credit starts below 0 by a random part of one.
+func (c *Controller) coldWait(n *node) time.Duration {
+	if !c.cold(n) || c.set.FallSpan == 0 {
+		return 0
 	}
-	sum := units
-	n.sent = slices.DeleteFunc(n.sent, func(s stamp) bool { return c.now-s.at > c.set.FallSpan })
-	for _, s := range n.sent {
-		sum += s.amount
+	rate := c.coldRate(n)
+	n.credit = min(n.credit+rate*(c.now-n.creditAt).Seconds(), rate*c.set.FallSpan.Seconds())
+	n.creditAt = c.now
+	if n.credit >= 0 {
+		return 0
 	}
-	return sum <= c.coldBudget(n)
+	return time.Duration(min(-n.credit/max(rate, 1e-9), c.set.ColdFor.Seconds()) * float64(time.Second))
 }
 
 // ---- the measured rate ----
@@ -713,31 +727,17 @@
 // mean round trip is old for a while, and too much is admitted.
 func (c *Controller) rate(n *node) float64 {
 	r, ok := n.meter.rate(float64(c.slot))
-	if !ok && n.rtt == 0 {
-		r = c.meanRate(n)
-	}
-	if u := c.unitTime(n); u > 0 && !n.suspect() {
+	if u := c.unitTime(n); u > 0 && (!ok || !n.suspect()) {
 		r = max(r, 1/u)
+	} else if !ok {
+		r = windowStart * c.set.MeanUnits / float64(c.slot)
 	}
-	if c.cold(n) && c.set.FallSpan > 0 {
-		r = min(r, c.coldBudget(n)/float64(c.set.FallSpan))
+	if c.cold(n) {
+		r *= c.warmth(n)
 	}
 	return max(r, c.set.MeanUnits/float64(4*c.slot))
 }
 
-func (c *Controller) meanRate(but *node) float64 {
-	sum, k := 0.0, 0.0
-	for _, n := range c.order {
-		if n != but && n.rtt > 0 && !n.suspect() && !c.cold(n) {
-			sum, k = sum+c.rate(n), k+1
-		}
-	}
-	if k == 0 {
-		return windowStart * c.set.MeanUnits / float64(c.slot)
-	}
-	return sum / k
-}
-
 // ---- round trips and the window ----
 
 // learn takes what an outcome tells of its node. Only answers count as served:
@@ -751,6 +751,9 @@
 		}
 		n.recover(c.now)
 		n.errors -= rttGain * n.errors
+		if !c.cold(n) {
+			c.served[n.Shard] = c.served[n.Shard].add(c.now, r.Units, rateMemory)
+		}
 		if e.Elapsed > 0 {
 			part := float64(n.meter.heldFor(c.now)-a.heldFor) / float64(c.now-a.sentAt)
 			n.meter.last(c.now, c.slot, rateMemory).units += r.Units * min(1, part)
@@ -759,7 +762,7 @@
 			n.rtt = float64(e.Elapsed)
 		}
 		n.rtt += rttGain * (float64(e.Elapsed) - n.rtt)
-		if c.observe(n, a, e.Elapsed) > aimForNode*float64(c.slot) {
+		if c.observe(n, a, e.Elapsed, e.Load) > aimForNode*float64(c.slot) {
 			c.halve(n, a)
 		} else if float64(len(n.out)+1) >= n.window/2 {
 			n.window = min(windowTop, n.window+1/n.window)
@@ -768,11 +771,12 @@
 		n.errors += rttGain * (1 - n.errors)
 		c.halve(n, a)
 	case TimedOut, Reset, Unreachable:
-		n.failed++
+		if n.failed++; n.failed == suspectAfter {
+			c.act(Log{"node " + n.ID + noAnswers})
+		}
 		if e.Result == TimedOut && a.sentAt > n.lastSent {
 			n.wait.add(c.now, float64(e.Elapsed), waitGain, waitFade, c.general())
 		}
-		c.suspected(n, n.failed != suspectAfter)
 		c.halve(n, a)
 	case Busy:
 		c.halve(n, a)
@@ -795,13 +799,6 @@
 // Harm: a node whose answers all take long for a moment is shunned until the next.
 func (n *node) suspect() bool { return n.silent || n.failed >= suspectAfter }
 
-// suspected tells the on-call staff, once.
-func (c *Controller) suspected(n *node, before bool) {
-	if !before {
-		c.act(Log{"node " + n.ID + " gives no answers: suspect, one attempt now and then"})
-	}
-}
-
 // backOff puts the next attempt at a suspect node off, twice as long each time.
 func (n *node) backOff(now, slot time.Duration) {
 	n.pause = min(max(slot, 2*n.pause), backoffTop*slot)
@@ -837,9 +834,9 @@
 // watch marks a node as silent if nothing came after an attempt now overdue.
 func (c *Controller) watch(n *node) {
 	for _, a := range n.out {
-		if a.sentAt > n.lastAnswer && c.overdue(a) {
-			c.suspected(n, n.silent)
+		if !n.silent && a.sentAt > n.lastAnswer && c.overdue(a) {
 			n.silent = true
+			c.act(Log{"node " + n.ID + noAnswers})
 		}
 	}
 }
@@ -847,11 +844,11 @@
 // ---- the node list ----
 
 // list applies news of the node list. Held requests at a node that may take
-// nothing new are placed again.
-func (c *Controller) list(e NodeList) {
+// nothing new are returned, to be placed again.
+func (c *Controller) list(e NodeList) (moved []*request) {
 	if e.Kind == ListFailed {
 		c.subscribed = false
-		return
+		return nil
 	}
 	if e.Kind != ListCached {
 		c.subscribed = true
@@ -863,7 +860,6 @@
 		named[entry.ID] = true
 		c.entry(entry)
 	}
-	var moved []*request
 	for _, n := range c.order {
 		if e.Kind != ListDelta && !named[n.ID] {
 			n.listed = false
@@ -876,9 +872,7 @@
 			n.held = nil
 		}
 	}
-	for _, r := range moved {
-		c.place(r)
-	}
+	return moved
 }
 
 // entry applies one entry. A node that restarted is a new node to this host.
@@ -893,6 +887,9 @@
 		n.window, n.meter, n.rtt = windowStart, meter{}, 0
 		n.silent, n.failed, n.pause, n.errors = false, 0, 0, 0
 	}
+	if e.StartedAt != n.StartedAt { // hosts told at the same time start apart
+		n.credit, n.creditAt = -c.rng.Float64()*c.set.MeanUnits, c.now
+	}
 	n.Node, n.listed = e, e.State != Gone
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -25,6 +25,7 @@
 	volumes   map[string]*volume
 	items     map[string]*itemQueue
 	droppedAt time.Duration
+	served    map[int]flow             // by shard: what this host got there of late
 	unserved  map[tryKey]time.Duration // when the first try of a request that may come again was taken
 	stood     time.Duration            // how long this host stood still before this step
 	taken     []stamp                  // for the attempt budget
@@ -88,16 +89,19 @@
 	plan    *Plan
 	reserve bucket
 	share   bucket
-	asked   float64 // units of late
-	askedAt time.Duration
+	asked   flow
 	limit   bucket
 }
 
-// ask adds units to what the volume has asked of late and returns units a second.
-func (v *volume) ask(now time.Duration, units float64, span time.Duration) float64 {
-	v.asked = v.asked*math.Exp(-float64(now-v.askedAt)/float64(span)) + units
-	v.askedAt = now
-	return v.asked / span.Seconds()
+// flow is the units that came of late, as it was when the last of them came: what a
+// node that is down did before stays known.
+type flow struct {
+	sum float64
+	at  time.Duration
+}
+
+func (f flow) add(now time.Duration, units float64, span time.Duration) flow {
+	return flow{f.sum*math.Exp(-float64(now-f.at)/float64(span)) + units, now}
 }
 
 // bucket is a store of units that fills at a rate up to a top.
@@ -195,7 +199,8 @@
 	pause      time.Duration // between attempts while suspect
 	tryAt      time.Duration // the next one
 	meter      meter
-	sent       []stamp // while cold: units sent
+	credit     float64 // while cold: units that may be sent there
+	creditAt   time.Duration
 }
 
 // usable says that new work may go to the node: the drain rule's only gate.
