--- a/control/control.go
+++ b/control/control.go
@@ -34,7 +34,7 @@
 	waitFree     = 1.0              // mean requests' work that is no backlog yet
 	suspectAfter = 3                // failures on end: suspect
 	backoffTop   = 8                // longest pause between attempts at a suspect node, slots
-	coldMargin   = 0.5              // part of the cold budget that is used
+	coldMargin   = 0.8              // part of the cold budget that is used: hosts come by chance
 	askEarly     = 0.4              // part of the list's longest silence after which it is asked
 	beatsPerSlot = 4                // looks at held requests in a slot
 
@@ -272,7 +272,7 @@
 		if r.Shard < 0 { // what is known of a node ages
 			end += time.Duration(unheard * float64(c.slot) * (1 - n.wait.trust(c.now, waitFade)))
 		}
-		if n.suspect() || c.cold(n) {
+		if n.suspect() {
 			end += r.class.Deadline // only when there is nothing better
 		}
 		if best == nil || end < bestEnd {
@@ -689,16 +689,17 @@
 	return c.set.ColdCapacity + (1-c.set.ColdCapacity)*min(1, warm)
 }
 
-// coldRate is the units a second that this host may send to a cold node: a part of
-// what the node bears in any case, which grows as the node warms, in equal parts for
-// all hosts; and of the stated multiple of its capacity the part that this host had of
-// its shard's work before. No node has served more than its capacity, so the hosts'
-// parts come to no more than the whole, however many they are.
+// coldRate is the units a second that this host may send to a cold node, by what it has
+// warmed up to: of what the node bears in any case an equal part for each host or, if
+// more, of the stated multiple of its capacity the part that this host had of its
+// shard's work before, by half as it has of the mean shard's, as the lead of a volume
+// moves. No node has served more than its capacity, so the hosts' parts come to no more
+// than the whole, however many they are.
 func (c *Controller) coldRate(n *node) float64 {
-	warmth := c.warmth(n)
-	bears := c.set.ColdBears / float64(c.set.Hosts) / c.set.FallSpan.Seconds()
-	had := max(0, c.served[n.Shard].sum-c.set.MeanUnits/2) / rateMemory.Seconds() // seen after one came
-	return coldMargin * warmth * (bears/max(c.set.ColdCapacity, 0.01) + c.set.FallMultiple*had)
+	bears := c.set.ColdBears / float64(c.set.Hosts) / c.set.FallSpan.Seconds() / max(c.set.ColdCapacity, 0.01)
+	own := max(0, c.served[n.Shard].sum-c.set.MeanUnits/2) // it is looked at after a request came
+	had := (own + c.all.sum/float64(len(c.order))) / 2 / rateMemory.Seconds()
+	return coldMargin * c.warmth(n) * max(bears, c.set.FallMultiple*had)
 }
 
 // coldWait is how long a cold node is to be left alone: until the credit that fills at
@@ -752,6 +753,7 @@
 		n.recover(c.now)
 		n.errors -= rttGain * n.errors
 		if !c.cold(n) {
+			c.all = c.all.add(c.now, r.Units, rateMemory)
 			c.served[n.Shard] = c.served[n.Shard].add(c.now, r.Units, rateMemory)
 		}
 		if e.Elapsed > 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -315,6 +315,7 @@
 			b := start(t, set, entry("o", 1))
 			b.c.rng.Seed(int64(h))
 			b.c.served[0] = flow{tt.before/float64(tt.hosts)*rateMemory.Seconds() + 1, b.now}
+			b.c.all = flow{2 * tt.before / float64(tt.hosts) * rateMemory.Seconds(), b.now} // as much at o
 			n := entry("n", 0)
 			n.StartedAt = b.now
 			b.step(0, NodeList{Kind: ListDelta, Nodes: []Node{n}})
--- a/control/state.go
+++ b/control/state.go
@@ -25,6 +25,7 @@
 	volumes   map[string]*volume
 	items     map[string]*itemQueue
 	droppedAt time.Duration
+	all       flow                     // what this host got of late, anywhere
 	served    map[int]flow             // by shard: what this host got there of late
 	unserved  map[tryKey]time.Duration // when the first try of a request that may come again was taken
 	stood     time.Duration            // how long this host stood still before this step
