--- a/control/control.go
+++ b/control/control.go
@@ -35,6 +35,7 @@
 	suspectAfter = 3                // failures on end: suspect
 	backoffTop   = 8                // longest pause between attempts at a suspect node, slots
 	coldMargin   = 0.8              // part of the cold budget that is used: hosts come by chance
+	coldLoad     = 0.6              // part of its capacity that a node served in the mean, at most
 	askEarly     = 0.4              // part of the list's longest silence after which it is asked
 	beatsPerSlot = 4                // looks at held requests in a slot
 
@@ -694,12 +695,13 @@
 // more, of the stated multiple of its capacity the part that this host had of its
 // shard's work before, by half as it has of the mean shard's, as the lead of a volume
 // moves. No node has served more than its capacity, so the hosts' parts come to no more
-// than the whole, however many they are.
+// than the whole, however many they are. Harm: of a node that was full when it went,
+// the parts come to more than the whole, if all hosts use theirs.
 func (c *Controller) coldRate(n *node) float64 {
 	bears := c.set.ColdBears / float64(c.set.Hosts) / c.set.FallSpan.Seconds() / max(c.set.ColdCapacity, 0.01)
 	own := max(0, c.served[n.Shard].sum-c.set.MeanUnits/2) // it is looked at after a request came
 	had := (own + c.all.sum/float64(len(c.order))) / 2 / rateMemory.Seconds()
-	return coldMargin * c.warmth(n) * max(bears, c.set.FallMultiple*had)
+	return coldMargin * c.warmth(n) * max(bears, c.set.FallMultiple*had/coldLoad)
 }
 
 // coldWait is how long a cold node is to be left alone: until the credit that fills at
