Own stalls left out of what is learnt of nodes; bounded state; odd settings tested

- An answer found after this host stood still (a timer fired late by a quarter slot) counts as served, but its time is the host's own: no round trip, backlog or window is judged by it.
- Volumes, gone nodes, items, shards' flows and stamps that nothing refers to are dropped; a test drives 1000 of each through.

--- a/control/control.go
+++ b/control/control.go
@@ -29,6 +29,7 @@
 	unitQuantile = 0.3              // of the times a unit that answers took
 	waitGain     = 0.5              // weight of a new observation of the backlog
 	waitFade     = 2 * time.Second  // the backlog last seen is forgotten over this long
+	lastFade     = 4 * waitFade     // and the last observation, of which it takes two
 	unheard      = 1.0              // part of the tightest aim that an unheard-of node counts as behind
 	generalFull  = 4.0              // a third of the tightest aim in general: all is short
 	waitFree     = 1.0              // mean requests' work that is no backlog yet
@@ -142,10 +143,10 @@
 // take books a new request.
 func (c *Controller) take(e Request) *request {
 	cl := c.classes[e.Class]
+	if cl == nil {
+		c.act(Fail{e.ID})
+	}
 	if cl == nil || c.reqs[e.ID] != nil {
-		if cl == nil {
-			c.act(Fail{e.ID})
-		}
 		return nil
 	}
 	if e.Units <= 0 {
@@ -177,8 +178,6 @@
 	return r
 }
 
-// ---- worth ----
-
 // volumeOf returns the account of the request's volume. Of reserve and share this
 // host has the part that the leading one of the volume's hosts tends to have; of
 // the limit, which binds, one in the hosts. The limit's store starts
@@ -224,11 +223,9 @@
 		r.worth *= v.plan.Price
 	}
 	c.unitWorth += rttGain * (r.worth/r.Units - c.unitWorth)
-	if c.set.ShareWorth == 0 && c.set.SpareWorth == 0 {
-		return
-	}
 	v.asked = v.asked.add(c.now, r.Units, usageSpan)
 	switch {
+	case c.set.ShareWorth == 0 && c.set.SpareWorth == 0: // all units are worth the same
 	case v.reserve.take(c.now, r.Units):
 		r.paid = &v.reserve
 	case v.share.take(c.now, r.Units):
@@ -241,8 +238,6 @@
 	}
 }
 
-// ---- placement ----
-
 // place finds the node for a request and holds it there if it is admitted.
 func (c *Controller) place(r *request) {
 	n := c.target(r)
@@ -283,8 +278,6 @@
 	return best
 }
 
-// ---- emulation and admission ----
-
 // freeAt is when the node, reading minRead a slot, is done with what is out, or with
 // the backlog if that is more.
 func (c *Controller) freeAt(n *node) time.Duration {
@@ -356,9 +349,9 @@
 		wait = min(wait, w)
 	}
 	n.unit.add(c.now, unit, unitQuantile, unitGain)
-	c.wait.add(c.now, min(wait, float64(c.slot)), waitGain/2, waitFade, 0)
+	c.wait.add(c.now, min(wait, float64(c.slot)), waitGain/2, waitFade, lastFade, 0)
 	n.lastSent, c.lastSent = max(n.lastSent, a.sentAt), max(c.lastSent, a.sentAt)
-	return n.wait.add(c.now, wait, waitGain, waitFade, c.general())
+	return n.wait.add(c.now, wait, waitGain, waitFade, lastFade, c.general())
 }
 
 // reported is the most that the load report of an answer lets a wait be.
@@ -421,7 +414,15 @@
 		return
 	}
 	c.droppedAt = c.now
-	maps.DeleteFunc(c.unserved, func(_ tryKey, at time.Duration) bool { return c.now-at > keepFor })
+	c.budgetRoom() // drops what its span has left behind
+	old := func(at time.Duration) bool { return c.now-at > keepFor }
+	maps.DeleteFunc(c.unserved, func(_ tryKey, at time.Duration) bool { return old(at) })
+	maps.DeleteFunc(c.volumes, func(_ string, v *volume) bool { return old(v.asked.at) })
+	maps.DeleteFunc(c.served, func(_ int, f flow) bool { return old(f.at + keepFor) })
+	maps.DeleteFunc(c.items, func(_ string, q *itemQueue) bool { return len(q.turn) < 1 && old(q.restUntil) })
+	gone := func(n *node) bool { return !n.listed && len(n.held)+len(n.out) == 0 }
+	c.order = slices.DeleteFunc(c.order, gone)
+	maps.DeleteFunc(c.nodes, func(_ string, n *node) bool { return gone(n) })
 }
 
 // admit holds the request at the node and lets the emulation decide: as long
@@ -475,8 +476,6 @@
 	})
 }
 
-// ---- departure ----
-
 // depart sends held requests in deadline order as far as windows allow.
 func (c *Controller) depart() {
 	wake := time.Duration(math.MaxInt64)
@@ -490,11 +489,11 @@
 		c.shed(n)
 		c.fill(n)
 		n.meter.saturated(c.now, c.slot, rateMemory, len(n.held) > 0)
-		if len(n.held) > 0 {
+		if len(n.held)+len(n.out) > 0 {
 			wake = min(wake, c.now+c.slot/beatsPerSlot)
-			for _, r := range n.held {
-				wake = min(wake, r.deadline)
-			}
+		}
+		for _, r := range n.held {
+			wake = min(wake, r.deadline)
 		}
 	}
 	if wake < math.MaxInt64 {
@@ -526,10 +525,7 @@
 // windowRoom: the window has a place. A suspect node gets one attempt now and
 // then, the longer after the more often it failed.
 func (c *Controller) windowRoom(n *node) bool {
-	if n.suspect() {
-		return c.now >= n.tryAt
-	}
-	return c.live(n) < n.window
+	return n.suspect() && c.now >= n.tryAt || !n.suspect() && c.live(n) < n.window
 }
 
 // send is the only place from which an attempt leaves.
@@ -552,8 +548,6 @@
 	c.act(Send{ID: r.ID, Node: n.ID})
 }
 
-// ---- outcomes and final answers ----
-
 // outcome books the end of an attempt and returns the request if it is still
 // owed an answer and may be tried again.
 func (c *Controller) outcome(e Outcome) *request {
@@ -720,8 +714,6 @@
 	return time.Duration(min(-n.credit/max(rate, 1e-9), c.set.ColdFor.Seconds()) * float64(time.Second))
 }
 
-// ---- the measured rate ----
-
 // rate is minRead as units a nanosecond: measured, else the other nodes' mean,
 // else a windowful of mean requests a slot. It is no lower than a part of what
 // the present window and round trip come to. Guards against a rate that spirals:
@@ -741,8 +733,6 @@
 	return max(r, c.set.MeanUnits/float64(4*c.slot))
 }
 
-// ---- round trips and the window ----
-
 // learn takes what an outcome tells of its node. Only answers count as served:
 // errors that come fast are no speed.
 func (c *Controller) learn(n *node, a *attempt, e Outcome) {
@@ -762,6 +752,9 @@
 			part := float64(n.meter.heldFor(c.now)-a.heldFor) / float64(c.now-a.sentAt)
 			n.meter.last(c.now, c.slot, rateMemory).units += r.Units * min(1, part)
 		}
+		if c.stood > 0 {
+			return // how long it took, this host cannot tell
+		}
 		if n.rtt == 0 {
 			n.rtt = float64(e.Elapsed)
 		}
@@ -779,7 +772,7 @@
 			c.act(Log{"node " + n.ID + noAnswers})
 		}
 		if e.Result == TimedOut && a.sentAt > n.lastSent {
-			n.wait.add(c.now, float64(e.Elapsed), waitGain, waitFade, c.general())
+			n.wait.add(c.now, float64(e.Elapsed), waitGain, waitFade, lastFade, c.general())
 		}
 		c.halve(n, a)
 	case Busy:
@@ -845,8 +838,6 @@
 	}
 }
 
-// ---- the node list ----
-
 // list applies news of the node list. Held requests at a node that may take
 // nothing new are returned, to be placed again.
 func (c *Controller) list(e NodeList) (moved []*request) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"reflect"
 	"slices"
@@ -56,6 +57,14 @@
 	})
 }
 
+// pass lets time pass with the controller's timers firing, the last step left out.
+func (b *bench) pass(d time.Duration) {
+	for ; d > 10*ms; d -= 10 * ms {
+		b.step(10*ms, TimerFired{b.c.token})
+	}
+	b.now += d
+}
+
 func entry(id string, shard int) Node { return Node{ID: id, Zone: "z" + id, Shard: shard} }
 
 func read(id string) Request {
@@ -492,7 +501,8 @@
 				for range sends(b.step(0, read(id))) {
 					o := ended(id, "n", 0, tt.result)
 					o.Elapsed, o.Closed = tt.took, true
-					b.step(tt.took, o)
+					b.pass(tt.took)
+					b.step(0, o)
 				}
 				if n.window > windowTop || n.window < windowFloor {
 					t.Fatalf("window %v out of bounds", n.window)
@@ -781,7 +791,8 @@
 		for range sends(got) {
 			o := ended(id, "n", 0, Done)
 			o.Elapsed = 400 * ms
-			b.step(400*ms, o)
+			b.pass(400 * ms)
+			b.step(0, o)
 		}
 	}
 	b.want("behind a queue of 400 ms", finals(b.step(ms, read("late"))), "refuse late")
@@ -871,16 +882,145 @@
 	b.want("new object", sends(b.step(ms, w)), "w>o")
 }
 
-// What nothing refers to any more is dropped: the state stays bounded.
-func TestUnservedIsDropped(t *testing.T) {
+// What nothing refers to any more is dropped: a host that runs for months, through
+// many nodes, volumes and items, keeps a bounded state.
+func TestStateIsBounded(t *testing.T) {
+	set := settings()
+	set.ExtraSpan, set.ExtraFree, set.ExtraShare, set.OrderRest = time.Second, 3, 0.2, 100*ms
+	b := start(t, set)
+	for i := range 1000 {
+		id := fmt.Sprint("n", i)
+		n := entry(id, i)
+		b.step(time.Second, NodeList{Kind: ListDelta, Nodes: []Node{n}})
+		r := of("turns", fmt.Sprint("r", i))
+		r.Shard, r.Item, r.Volume = i, fmt.Sprint("item", i), fmt.Sprint("volume", i)
+		if got := sends(b.step(0, r)); len(got) != 1 {
+			t.Fatalf("%s: attempts %v", r.ID, got)
+		}
+		o := ended(r.ID, id, 0, Done)
+		if i%3 == 0 {
+			o.Result, o.Closed = TimedOut, true
+		}
+		n.State = Gone
+		b.step(10*ms, o, NodeList{Kind: ListDelta, Nodes: []Node{n}})
+	}
+	most := 4 * int(keepFor/time.Second)
+	for what, k := range map[string]int{"volumes": len(b.c.volumes), "nodes": len(b.c.nodes), "order": len(b.c.order),
+		"items": len(b.c.items), "unserved": len(b.c.unserved), "served": len(b.c.served),
+		"taken": len(b.c.taken), "extra": len(b.c.extra), "after": len(b.c.after), "requests": len(b.c.reqs)} {
+		if k > most {
+			t.Errorf("%d %s kept, want %d at most", k, what, most)
+		}
+	}
+}
+
+// An answer found after this host stood still tells nothing of its node: a timer that
+// fires late tells (days of balancer_stall).
+func TestOwnStallIsNoFaultOfTheNode(t *testing.T) {
 	b := start(t, settings(), entry("n", 0))
-	for i := range 500 {
-		r := read(fmt.Sprint("r", i))
-		r.Item = fmt.Sprint("item", i)
-		b.step(time.Second, r)
-		b.step(0, ended(r.ID, "n", 0, Done))
+	b.c.unit = low{value: float64(5 * ms), seen: 100}
+	n := b.c.nodes["n"]
+	for i := range 10 {
+		id := fmt.Sprint("r", i)
+		b.step(0, read(id)) // sets a timer
+		o := ended(id, "n", 0, Done)
+		o.Elapsed = 500 * ms
+		b.step(500*ms, o)
+	}
+	if n.suspect() || n.window < windowStart || b.c.backlog(n) > float64(ms) {
+		t.Errorf("suspect %v, window %v, backlog %v after own stalls", n.suspect(), n.window, b.c.backlog(n))
+	}
+}
+
+// Odd but legal settings and events of any value: no panic, and every time in an
+// action is finite and not negative.
+func TestOddSettings(t *testing.T) {
+	for name, odd := range map[string]func(*Settings){
+		"no hosts":          func(s *Settings) { s.Hosts = 0 },
+		"1000 hosts":        func(s *Settings) { s.Hosts = 1000 },
+		"no units":          func(s *Settings) { s.MeanUnits, s.MostUnits = 0, 0 },
+		"no cold budget":    func(s *Settings) { s.ColdFor, s.FallSpan, s.ColdBears = time.Second, time.Second, 0 },
+		"cold for ever":     func(s *Settings) { s.ColdFor, s.FallSpan = 1<<62, time.Second },
+		"no fall span":      func(s *Settings) { s.ColdFor, s.ColdBears = time.Second, 10 },
+		"aims past deadlin": func(s *Settings) { s.Classes[0].Aim = time.Hour },
+		"no aims":           func(s *Settings) { s.Classes[0].Aim, s.Classes[0].Deadline = 0, 0 },
+		"plans weigh 0":     func(s *Settings) { s.Plans = []Plan{{Name: "p", Nominal: 3}}; s.ShareWorth = 1 },
+		"reports":           func(s *Settings) { s.LoadFields = []string{"queue", "latency_ms"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			set := settings()
+			odd(&set)
+			rng := rand.New(rand.NewSource(1))
+			b := start(t, set, entry("n", 0), entry("o", 1))
+			loads := [][]float64{nil, {0, 5}, {math.NaN(), math.Inf(1)}, {-1, -1}, {1e300, 1e300}, {1}}
+			var out []Outcome
+			for i := range 2000 {
+				r := of([]string{"read", "write", "turns"}[rng.Intn(3)], fmt.Sprint("r", i))
+				r.Plan, r.Shard, r.Hosts, r.Units = "p", rng.Intn(4)-1, rng.Intn(3)*rng.Intn(500), float64(rng.Intn(9))
+				r.Expires = time.Duration(rng.Intn(2000)) * ms
+				events := []Event{r, TimerFired{b.c.token}}
+				if len(out) > 3 {
+					o := out[0]
+					out = out[1:]
+					o.Result, o.Elapsed = Result(rng.Intn(int(unknownCount))), time.Duration(rng.Intn(1000))*ms
+					o.Load = loads[rng.Intn(len(loads))]
+					events = append(events, o)
+				}
+				if rng.Intn(20) == 0 {
+					n := entry("n", 0)
+					n.StartedAt = b.now
+					events = append(events, NodeList{Kind: ListDelta, Nodes: []Node{n}})
+				}
+				b.now += time.Duration(rng.Intn(30)) * ms
+				for _, a := range b.c.Step(b.now, events) {
+					switch a := a.(type) {
+					case Send:
+						out = append(out, Outcome{ID: a.ID, Node: a.Node})
+					case Refuse:
+						if a.RetryAfter < 0 || a.RetryAfter > time.Hour {
+							t.Fatalf("retry after %v", a.RetryAfter)
+						}
+					case SetTimer:
+						if a.At < b.now || a.At > b.now+time.Hour {
+							t.Fatalf("a timer %v from now", a.At-b.now)
+						}
+					}
+				}
+			}
+			for _, n := range b.c.order {
+				if w := b.c.backlog(n); math.IsNaN(w) || math.IsInf(w, 0) || math.IsNaN(n.window) {
+					t.Errorf("node %s: backlog %v, window %v", n.ID, w, n.window)
+				}
+			}
+		})
 	}
-	if k := len(b.c.unserved); k > 2*int(keepFor/time.Second) {
-		t.Errorf("%d items kept", k)
+}
+
+// BenchmarkStep is a Step with one request and one answer at a host of 270, before 42
+// nodes.
+func BenchmarkStep(b *testing.B) {
+	set := settings()
+	set.Hosts, set.ColdFor, set.FallSpan = 270, 10*time.Second, time.Second
+	c, err := New(set, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var nodes []Node
+	for i := range 42 {
+		nodes = append(nodes, entry(fmt.Sprint("n", i), i))
+	}
+	now := time.Hour
+	events := []Event{NodeList{Kind: ListCached, Nodes: nodes}}
+	for i := 0; b.Loop(); i++ {
+		r := read(fmt.Sprint("r", i))
+		r.Shard = i%43 - 1
+		now += 5 * ms
+		sent := c.Step(now, append(events, r, TimerFired{c.token}))
+		events = nil
+		for _, a := range sent {
+			if s, ok := a.(Send); ok {
+				events = append(events, ended(s.ID, s.Node, 0, Done))
+			}
+		}
 	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -141,9 +141,9 @@
 func (d *delay) now(now, fade time.Duration) float64 { return d.mean * d.trust(now, fade) }
 
 // add books a delay. If the last one is old, what is usual elsewhere stands in for it.
-func (d *delay) add(now time.Duration, seen, gain float64, fade time.Duration, usual float64) float64 {
+func (d *delay) add(now time.Duration, seen, gain float64, fade, lastFade time.Duration, usual float64) float64 {
 	t := d.trust(now, fade)
-	lesser := min(seen, max(d.last*t, usual))
+	lesser := min(seen, max(d.last*d.trust(now, lastFade), usual))
 	old := d.mean*t + usual*(1-t)
 	d.mean, d.last, d.at = old+gain*(lesser-old), seen, now
 	return lesser
