--- a/control/control.go
+++ b/control/control.go
@@ -397,13 +397,14 @@
 }
 
 // bid is the worth of a unit of the node's time to others: that of a mean request, in
-// full, times the part of its aim that the request waits; times that part once more
-// while nodes in general have no backlog. Guards against a queue in which all come
-// late: the longer it is, the more a request must bring, whatever made the node short.
+// full, times the part of the tightest aim that the node's backlog takes and the square
+// of that of its own aim that held work takes; times it once more while nodes in general
+// have no backlog. Guards against a queue in which all come late, whatever made the node short.
 // Harm: a node that pauses refuses what is worth little although it had time for it.
 func (c *Controller) bid(r *request, end time.Duration, queued float64) float64 {
 	slot := float64(c.slot)
-	full := min(1, queued/slot+(float64(end-c.now)-queued)/max(float64(r.class.Aim), slot))
+	held := (float64(end-c.now) - queued) / max(float64(r.class.Aim), slot)
+	full := min(1, queued/slot+held*held)
 	general := max(0, c.general()-waitFree/2*c.set.MeanUnits*c.unit.value) / slot
 	return full * max(full, min(2, generalFull*general)) * c.unitWorth
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1024,3 +1024,20 @@
 		}
 	}
 }
+
+// A run of requests that can wait is held at a node with nothing else to do: it is
+// not refused for its own length (quiet days of caerdydd-main).
+func TestRunThatCanWaitIsHeld(t *testing.T) {
+	set := settings()
+	set.Classes[1].Aim = time.Second // "write"
+	b := start(t, set, entry("n", 0))
+	b.c.unit = low{value: float64(5 * ms), seen: 100}
+	b.c.unitWorth = 4 // others are worth more
+	var run []Event
+	for i := range 20 {
+		run = append(run, of("write", fmt.Sprint("w", i)))
+	}
+	if got := finals(b.step(ms, run...)); len(got) != 0 {
+		t.Errorf("refused of a run that takes a fifth of its aim: %v", got)
+	}
+}
