--- a/control/control.go
+++ b/control/control.go
@@ -397,14 +397,14 @@
 }
 
 // bid is the worth of a unit of the node's time to others: that of a mean request, in
-// full, times the part of the tightest aim that the node's backlog takes and the square
-// of that of its own aim that held work takes; times it once more while nodes in general
+// full, times the part of the tightest aim that the node's backlog takes and, to the power
+// 1.5, that of its own aim that held work takes; times it once more while nodes in general
 // have no backlog. Guards against a queue in which all come late, whatever made the node short.
 // Harm: a node that pauses refuses what is worth little although it had time for it.
 func (c *Controller) bid(r *request, end time.Duration, queued float64) float64 {
 	slot := float64(c.slot)
-	held := (float64(end-c.now) - queued) / max(float64(r.class.Aim), slot)
-	full := min(1, queued/slot+held*held)
+	held := max(0, float64(end-c.now)-queued) / max(float64(r.class.Aim), slot)
+	full := min(1, queued/slot+held*math.Sqrt(held))
 	general := max(0, c.general()-waitFree/2*c.set.MeanUnits*c.unit.value) / slot
 	return full * max(full, min(2, generalFull*general)) * c.unitWorth
 }
