--- a/control/api.go
+++ b/control/api.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -114,22 +115,37 @@
 		if cl.Aim < 0 || cl.Deadline < 0 || cl.Window < 0 {
 			return fmt.Errorf("%s: negative time", where)
 		}
+		if bad(cl.Worth) || bad(cl.LateWorth) {
+			return fmt.Errorf("%s.worth: %v, late %v", where, cl.Worth, cl.LateWorth)
+		}
 	}
-	for name, d := range map[string]time.Duration{"cold time": s.ColdFor, "fall span": s.FallSpan,
-		"extra span": s.ExtraSpan, "order rest": s.OrderRest, "ask within": s.AskWithin,
-		"drain grace": s.DrainGrace, "meter span": s.MeterSpan, "max retry-after": s.MaxRetryAfter} {
-		if d < 0 {
-			return fmt.Errorf("settings: %s: negative time", name)
+	for _, f := range []struct {
+		name string
+		x    float64
+	}{{"cold time", float64(s.ColdFor)}, {"fall span", float64(s.FallSpan)}, {"extra span", float64(s.ExtraSpan)},
+		{"order rest", float64(s.OrderRest)}, {"ask within", float64(s.AskWithin)},
+		{"drain grace", float64(s.DrainGrace)}, {"meter span", float64(s.MeterSpan)},
+		{"max retry-after", float64(s.MaxRetryAfter)}, {"mean units", s.MeanUnits}, {"most units", s.MostUnits},
+		{"share worth", s.ShareWorth}, {"spare worth", s.SpareWorth}, {"cold capacity", s.ColdCapacity},
+		{"fall multiple", s.FallMultiple}, {"cold bears", s.ColdBears}, {"extra free", s.ExtraFree},
+		{"extra share", s.ExtraShare}} {
+		if bad(f.x) {
+			return fmt.Errorf("settings: %s: %v is negative or no number", f.name, f.x)
 		}
 	}
 	for _, p := range s.Plans {
-		if p.LimitRate < 0 || p.LimitBurst < 0 || p.Reserve < 0 || p.Weight < 0 {
-			return fmt.Errorf("settings: plans[%s]: negative figure", p.Name)
+		for _, x := range []float64{p.Nominal, p.Price, p.Reserve, p.Weight, p.LimitRate, p.LimitBurst, p.LimitSlack} {
+			if bad(x) {
+				return fmt.Errorf("settings: plans[%s]: %v", p.Name, x)
+			}
 		}
 	}
 	return nil
 }
 
+// bad says that a figure is negative or no finite number.
+func bad(x float64) bool { return !(x >= 0) || math.IsInf(x, 1) }
+
 // Result tells how an attempt or a probe ended.
 type Result int
 
--- a/control/control.go
+++ b/control/control.go
@@ -154,8 +154,7 @@
 	}
 	cl.patience = max(cl.patience, e.Expires)
 	spent := c.spent(e, cl)
-	c.seq++
-	r := &request{Request: e, class: cl, seq: c.seq, firstAt: c.now - spent}
+	r := &request{Request: e, class: cl, firstAt: c.now - spent}
 	r.deadline, r.aimAt = c.now+e.Expires, c.now+cl.Aim-spent
 	if cl.Deadline > 0 {
 		r.deadline = min(r.deadline, c.now+cl.Deadline)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -122,6 +122,10 @@
 		{"unknown group", func(s *Settings) { s.Classes[1].Group = 9 }, "classes[write].group"},
 		{"negative aim", func(s *Settings) { s.Classes[0].Aim = -1 }, "classes[read]"},
 		{"negative cold time", func(s *Settings) { s.ColdFor = -1 }, "cold time"},
+		{"worth no number", func(s *Settings) { s.Classes[0].Worth = math.NaN() }, "classes[read].worth"},
+		{"mean units infinite", func(s *Settings) { s.MeanUnits = math.Inf(1) }, "mean units"},
+		{"negative cold budget", func(s *Settings) { s.ColdBears = -1 }, "cold bears"},
+		{"weight no number", func(s *Settings) { s.Plans = []Plan{{Name: "p", Weight: math.NaN()}} }, "plans[p]"},
 		{"negative limit", func(s *Settings) { s.Plans = []Plan{{Name: "p", LimitRate: -1}} }, "plans[p]"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/control/state.go
+++ b/control/state.go
@@ -31,7 +31,6 @@
 	stood     time.Duration            // how long this host stood still before this step
 	taken     []stamp                  // for the attempt budget
 	extra     []stamp
-	seq       int64
 	token     int64
 	timerAt   time.Duration
 	timerSet  bool
@@ -76,11 +75,9 @@
 	firstAt  time.Duration // when its first try was taken
 	worth    float64
 	paid     *bucket // what its units came out of
-	seq      int64
 	held     bool
 	over     bool
 	started  bool
-	limited  bool // its units are taken from the volume's limit
 	attempts []*attempt
 	doubt    *attempt // first attempt that may have run
 }
