--- a/control/control.go
+++ b/control/control.go
@@ -19,7 +19,7 @@
 	windowStart  = 4.0              // attempts out at a node, at first
 	windowTop    = 16.0             // the fixed ceiling
 	windowFloor  = 1.0              // the trickle: one attempt may always be out
-	aimForNode   = 0.06             // part of the tightest aim that a wait may take before the window halves
+	aimForNode   = 0.05             // part of the tightest aim that a wait may take before the window halves
 	rttGain      = 0.15             // weight of a new round trip in the mean
 	keepFor      = 30 * time.Second // what nothing refers to is kept at least this long
 	usageSpan    = time.Second      // worth is counted by the second
