--- /dev/null
+++ b/cmd/eiderhold/dev.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"eiderhold/internal/config"
+	"eiderhold/internal/register"
+	"eiderhold/internal/standin"
+	"eiderhold/internal/telemetry"
+)
+
+func devCommand() *cobra.Command {
+	var listen, dir, level string
+	var nodes int
+	c := &cobra.Command{
+		Use:   "dev",
+		Short: "Run gateway, register and stand-in nodes in one process, to try things",
+		Long: `Run a gateway before stand-in nodes in one process, with a writable module "records".
+What is pushed is kept in the folder. Nothing else is needed.`,
+		Example: "  eiderhold dev --listen 127.0.0.1:8730 --nodes 4 --dir /tmp/eider\n" +
+			"  rsync -av some/tree/ rsync://127.0.0.1:8730/records/",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if nodes < 1 || nodes > 1000 {
+				return fmt.Errorf("--nodes %d: 1 to 1000", nodes)
+			}
+			log, _, err := telemetry.Logger(os.Stderr, level)
+			if err != nil {
+				return err
+			}
+			reg, err := standin.StartRegister("", nil)
+			if err != nil {
+				return err
+			}
+			defer reg.Close()
+			for i := range nodes {
+				disk, err := standin.NewDisk(filepath.Join(dir, fmt.Sprintf("shard-%d", i)))
+				if err != nil {
+					return err
+				}
+				n, err := standin.StartNode(standin.NodeOptions{ID: fmt.Sprintf("node-%d", i), Shard: i, Disk: disk,
+					Cores: 4, Queue: 256, KeyWindow: 1200 * time.Millisecond, Seed: int64(i)})
+				if err != nil {
+					return err
+				}
+				defer n.Close()
+				reg.Set(register.Entry{ID: fmt.Sprintf("node-%d", i), Addr: n.Addr(), Shard: i, State: "ready", Size: 1})
+			}
+			cfg := config.Default()
+			cfg.Gateway.Name, cfg.Gateway.Dir = "dev", filepath.Join(dir, "gateway")
+			cfg.Register.URL = reg.URL()
+			cfg.Rsync.Listen = listen
+			if err := cfg.Check(); err != nil {
+				return err
+			}
+			g, err := startGateway(cfg, log)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "rsync://%s/records/\n", g.Addr())
+			return attend(cmd.Context(), g, cfg, log, func() error { return fmt.Errorf("dev has no settings file") })
+		},
+	}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:8730", "where the rsync front listens")
+	c.Flags().StringVar(&dir, "dir", "eiderhold-dev", "folder for what is pushed")
+	c.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	c.Flags().IntVar(&nodes, "nodes", 4, "stand-in nodes")
+	return c
+}
--- /dev/null
+++ b/cmd/eiderhold/serve.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"eiderhold/internal/config"
+	"eiderhold/internal/gateway"
+	"eiderhold/internal/telemetry"
+)
+
+func serveCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "serve --config FILE",
+		Short: "Run a gateway",
+		Long: `Run a gateway until SIGTERM or SIGINT. Then no new connections are taken, transfers
+end within gateway.drain, and it exits with 0; a second signal ends it at once. SIGHUP
+reads the file again and takes the modules, the greeting and the log level from it, all
+or nothing; the rest needs a restart.`,
+		Example: "  eiderhold config default > gateway.toml\n  eiderhold serve --config gateway.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := config.Load(file)
+			if err != nil {
+				return err
+			}
+			log, level, err := telemetry.Logger(os.Stderr, cfg.Gateway.LogLevel)
+			if err != nil {
+				return err
+			}
+			log = log.With("gateway", cfg.Gateway.Name)
+			g, err := startGateway(cfg, log)
+			if err != nil {
+				return err
+			}
+			log.Info("serving", "rsync", g.Addr(), "register", cfg.Register.URL, "dir", cfg.Gateway.Dir)
+			return attend(cmd.Context(), g, cfg, log, func() error {
+				next, err := config.Load(file)
+				if err != nil {
+					return err
+				}
+				if err := g.Reload(next); err != nil {
+					return err
+				}
+				return level.UnmarshalText([]byte(next.Gateway.LogLevel))
+			})
+		},
+	}
+	c.Flags().StringVar(&file, "config", "", "settings file (required); eiderhold config default writes one")
+	_ = c.MarkFlagRequired("config")
+	return c
+}
+
+// startGateway starts a gateway with what its settings ask for.
+func startGateway(cfg *config.Config, log *slog.Logger) (*gateway.Gateway, error) {
+	return gateway.Start(cfg, log, gateway.Options{})
+}
+
+// attend waits for signals and ends the gateway as they say.
+func attend(ctx context.Context, g *gateway.Gateway, cfg *config.Config, log *slog.Logger, reload func() error) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-g.Ended():
+			err := g.Err()
+			g.Close()
+			if err == nil {
+				err = fmt.Errorf("the host loop ended unasked")
+			}
+			return short{err}
+		case <-ctx.Done():
+			return g.Close()
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				if err := reload(); err != nil {
+					log.Error("reload: nothing was changed", "err", err)
+				} else {
+					log.Info("reloaded")
+				}
+				continue
+			}
+			log.Info("draining: transfers may end, no new connections", "within", cfg.Gateway.Drain.D())
+			limit, cancel := context.WithTimeout(ctx, cfg.Gateway.Drain.D())
+			go func() {
+				<-signals
+				log.Warn("second signal: ending at once")
+				os.Exit(exitShort)
+			}()
+			err := g.Drain(limit)
+			cancel()
+			if err != nil {
+				log.Warn("drain", "err", err)
+			}
+			return g.Close()
+		}
+	}
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "version",
+		Short:   "Show the version",
+		Example: "  eiderhold version",
+		Args:    cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			version, revision := "unknown", ""
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version = info.Main.Version
+				for _, s := range info.Settings {
+					if s.Key == "vcs.revision" {
+						revision = " " + s.Value
+					}
+				}
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "eiderhold %s%s\n", version, revision)
+		},
+	}
+}
+
+func configCommand() *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Check and show settings"}
+	c.AddCommand(
+		&cobra.Command{
+			Use: "default", Short: "Write a whole settings file, every key explained", Args: cobra.NoArgs,
+			Example: "  eiderhold config default > gateway.toml",
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				text, err := config.Default().Text()
+				if err == nil {
+					_, err = cmd.OutOrStdout().Write(text)
+				}
+				return err
+			},
+		},
+		&cobra.Command{
+			Use: "check FILE", Short: "Check a settings file whole, secrets files too", Args: cobra.ExactArgs(1),
+			Example: "  eiderhold config check gateway.toml",
+			RunE: func(cmd *cobra.Command, args []string) error {
+				cfg, err := config.Load(args[0])
+				if err == nil {
+					_, err = gateway.Modules(cfg)
+				}
+				if err != nil {
+					return short{err}
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: good\n", args[0])
+				return nil
+			},
+		},
+		&cobra.Command{
+			Use: "show FILE", Short: "Show a settings file with all that it leaves at its default", Args: cobra.ExactArgs(1),
+			Example: "  eiderhold config show gateway.toml",
+			RunE: func(cmd *cobra.Command, args []string) error {
+				cfg, err := config.Load(args[0])
+				if err != nil {
+					return short{err}
+				}
+				text, err := cfg.Text()
+				if err == nil {
+					_, err = cmd.OutOrStdout().Write(text)
+				}
+				return err
+			},
+		})
+	return c
+}
--- a/control/api.go
+++ b/control/api.go
@@ -215,6 +215,7 @@
 	Shard   int // or AnyShard
 	Hosts   int // hosts through which the volume's requests come
 	Units   float64
+	Share   float64       // units a second told in advance as the volume's share at this host; 0: not told
 	Expires time.Duration // time until the client gives up
 	Retry   bool          // the client says that it has tried before
 }
--- a/control/control.go
+++ b/control/control.go
@@ -200,6 +200,9 @@
 	}
 	dealt := max(p.Nominal, shareOver*p.Weight*nominal/max(weights, 1e-9))
 	v.share = c.due(max(0, dealt-p.Reserve) / math.Sqrt(hosts))
+	if e.Share > 0 { // told, not guessed
+		v.share = c.due(e.Share)
+	}
 	c.volumes[e.Volume] = v
 	return v
 }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,254 @@
+// Package gateway puts a gateway together: host loop, backend, register feed,
+// catalogue, collector and fronts, in the order in which they need each other, and
+// takes it apart in the reverse order. It decides nothing. cmd/eiderhold and the
+// rehearsal start it.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"eiderhold/internal/backend"
+	"eiderhold/internal/collect"
+	"eiderhold/internal/config"
+	front "eiderhold/internal/front/rsync"
+	"eiderhold/internal/host"
+	"eiderhold/internal/register"
+	proto "eiderhold/internal/rsync"
+	"eiderhold/internal/store"
+)
+
+// Gateway is a running gateway.
+type Gateway struct {
+	cfg  *config.Config
+	log  *slog.Logger
+	rec  recorder
+	back *backend.Backend
+	host *host.Host
+	feed *register.Feed
+	cat  *store.Catalogue
+	rs   *front.Front
+
+	mu     sync.Mutex
+	shards map[int]bool
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	ended  chan struct{}
+	err    error // of the host loop, once ended is closed
+}
+
+// recorder is what the host writes batches to.
+type recorder interface {
+	host.Recorder
+	Close() error
+}
+
+// Options are what a gateway may be given beside its settings.
+type Options struct {
+	Recorder recorder // nil: none
+}
+
+// Start starts a gateway; it serves when Start returns.
+func Start(cfg *config.Config, log *slog.Logger, opt Options) (g *Gateway, err error) {
+	set, err := cfg.Settings()
+	if err != nil {
+		return nil, err
+	}
+	modules, err := Modules(cfg)
+	if err != nil {
+		return nil, err
+	}
+	g = &Gateway{cfg: cfg, log: log, rec: opt.Recorder, shards: map[int]bool{}, ended: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	defer func() {
+		if err != nil {
+			g.Close()
+			g = nil
+		}
+	}()
+	names := make([]string, len(modules))
+	for i, m := range modules {
+		names[i] = m.Name
+	}
+	if g.cat, err = store.Open(cfg.Gateway.Dir, cfg.Gateway.Name, names); err != nil {
+		close(g.ended)
+		return nil, err
+	}
+	n := &cfg.Nodes
+	if g.back, err = backend.New(backend.Settings{Name: cfg.Gateway.Name, Conns: n.Conns, Streams: n.Streams,
+		Waiting: n.Waiting, DialTimeout: n.Dial.D(), IdleClose: n.IdleClose.D(), Cancelling: n.Cancel, Loops: n.Loops},
+		nil, log); err != nil {
+		close(g.ended)
+		return nil, err
+	}
+	seed := cfg.Gateway.Seed
+	if seed == 0 {
+		seed = rand.Int63()
+	}
+	ho := host.Options{Settings: set, Seed: seed, Backend: g.back, Log: log, MostOpen: cfg.Gateway.Open}
+	if opt.Recorder != nil {
+		ho.Recorder = opt.Recorder
+	}
+	if g.host, err = host.New(ho); err != nil {
+		close(g.ended)
+		return nil, err
+	}
+	g.back.Own(g.host)
+	g.feed = register.New(register.Settings{URL: cfg.Register.URL, Gateway: cfg.Gateway.Name,
+		Cache: filepath.Join(cfg.Gateway.Dir, "nodes.json"), Silence: cfg.Register.Silence.D(),
+		Settle: cfg.Register.Settle.D(), Seed: seed}, g, log)
+	g.host.Follow(g.feed)
+	go func() {
+		g.err = g.host.Run()
+		close(g.ended)
+	}()
+	g.wg.Add(1)
+	go func() { defer g.wg.Done(); g.feed.Run(ctx) }()
+	r := &cfg.Rsync
+	if g.rs, err = front.Start(front.Options{Listen: r.Listen, Loops: r.Loops, Host: g.host, Catalogue: g.cat,
+		Classes: set.Classes, Work: cfg.Work(), Pacing: cfg.PacingSettings(), Modules: modules, MOTD: r.MOTD,
+		ExtentBytes: r.Extent, MaxConns: r.Conns, MaxFiles: r.Files, Budget: r.Budget, Handshake: r.Handshake.D(),
+		Stall: r.Stall.D(), Log: log}); err != nil {
+		return nil, err
+	}
+	plans := map[string]string{}
+	for _, m := range modules {
+		plans[m.Name] = m.Plan
+	}
+	deadline := time.Second
+	for _, c := range set.Classes {
+		if c.Name == cfg.Worth.Collect {
+			deadline = c.Deadline
+		}
+	}
+	c := collect.New(collect.Settings{Deadline: deadline, Plan: func(v string) string { return plans[v] }},
+		g.cat, g.host, cfg.Work(), g.Shards, log)
+	g.wg.Add(1)
+	go func() { defer g.wg.Done(); c.Run(ctx) }()
+	return g, nil
+}
+
+// Modules turns the settings' modules into the front's, with their secrets.
+func Modules(cfg *config.Config) ([]front.Module, error) {
+	var list []front.Module
+	for _, m := range cfg.Modules {
+		f := front.Module{Module: proto.Module{Name: m.Name, Comment: m.Comment, Hidden: m.Hidden, ReadOnly: m.ReadOnly,
+			WriteOnly: m.WriteOnly, Users: m.Users}, Plan: m.Plan, Share: m.Share, Hosts: cfg.Gateway.Hosts, MaxConn: m.Conns}
+		if m.Secrets != "" {
+			secrets, err := config.ReadSecrets(m.Secrets)
+			if err != nil {
+				return nil, fmt.Errorf("module %s: %w", m.Name, err)
+			}
+			for _, u := range m.Users {
+				if secrets[u] == "" {
+					return nil, fmt.Errorf("module %s: user %s has no line in %s", m.Name, u, m.Secrets)
+				}
+			}
+			f.Secrets = secrets
+		}
+		list = append(list, f)
+	}
+	return list, nil
+}
+
+// List hands news of the register to the host, and notes which shards there are.
+func (g *Gateway) List(l host.List) {
+	g.mu.Lock()
+	for _, n := range l.Nodes {
+		g.shards[n.Shard] = true
+	}
+	g.mu.Unlock()
+	g.host.List(l)
+}
+
+// StartedAt is the host's.
+func (g *Gateway) StartedAt(node string, wall time.Time) time.Duration {
+	return g.host.StartedAt(node, wall)
+}
+
+// Shards are those of all nodes that were ever listed since the start.
+func (g *Gateway) Shards() []int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]int, 0, len(g.shards))
+	for s := range g.shards {
+		list = append(list, s)
+	}
+	return list
+}
+
+// Addr is where the rsync front listens.
+func (g *Gateway) Addr() string { return g.rs.Addr() }
+
+// Host, Front, Catalogue, Backend and Feed are the parts, for reports and tests.
+func (g *Gateway) Host() *host.Host            { return g.host }
+func (g *Gateway) Front() *front.Front         { return g.rs }
+func (g *Gateway) Catalogue() *store.Catalogue { return g.cat }
+func (g *Gateway) Backend() *backend.Backend   { return g.back }
+func (g *Gateway) Feed() *register.Feed        { return g.feed }
+
+// Ended is closed when the host loop has ended; Err then says why.
+func (g *Gateway) Ended() <-chan struct{} { return g.ended }
+
+// Err is why the host loop ended: nil if it was told to.
+func (g *Gateway) Err() error {
+	<-g.ended
+	return g.err
+}
+
+// Reload takes what can be changed while running: the modules and the greeting.
+// Nothing changes if any of it cannot be used.
+func (g *Gateway) Reload(cfg *config.Config) error {
+	modules, err := Modules(cfg)
+	if err != nil {
+		return err
+	}
+	known := map[string]bool{}
+	for _, m := range g.cfg.Modules {
+		known[m.Name] = true
+	}
+	for _, m := range cfg.Modules {
+		if !known[m.Name] {
+			return fmt.Errorf("module %s is new: that needs a restart", m.Name)
+		}
+	}
+	g.rs.Reload(modules, cfg.Rsync.MOTD)
+	return nil
+}
+
+// Drain lets transfers end, for as long as ctx lasts, and takes no new ones.
+func (g *Gateway) Drain(ctx context.Context) error { return g.rs.Drain(ctx) }
+
+// Close ends everything. What is open is answered failed.
+func (g *Gateway) Close() error {
+	var errs []error
+	if g.rs != nil {
+		errs = append(errs, g.rs.Close())
+	}
+	g.cancel()
+	if g.host != nil {
+		g.host.Stop(nil)
+		if g.feed != nil {
+			<-g.ended
+		}
+	}
+	g.wg.Wait()
+	if g.back != nil {
+		errs = append(errs, g.back.Close())
+	}
+	if g.cat != nil {
+		errs = append(errs, g.cat.Close())
+	}
+	if g.rec != nil {
+		errs = append(errs, g.rec.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/rsync/filter.go
@@ -0,0 +1,270 @@
+package rsync
+
+import (
+	"fmt"
+	"strings"
+)
+
+// rule is one exclusion or inclusion rule of a pull, rsync(1) "FILTER RULES".
+type rule struct {
+	include  bool
+	dirOnly  bool
+	anchored bool // to the root of the transfer
+	whole    bool // the pattern is matched against the whole path
+	negate   bool
+	pattern  string
+}
+
+// filter decides what a pull leaves out. The first rule that matches counts.
+type filter struct{ rules []rule }
+
+// add takes one rule as clients send it.
+func (f *filter) add(text string, version int) error {
+	if text == "!" {
+		f.rules = nil
+		return nil
+	}
+	r := rule{}
+	pattern := text
+	sender := true
+	if kind, rest, ok := splitRule(text); ok {
+		mods := kind[1:]
+		switch kind[0] {
+		case '+', 'S':
+			r.include = true
+		case '-', 'H':
+		case 'P', 'R': // for what is deleted at the receiver, which is the client
+			return nil
+		case '!':
+			f.rules = nil
+			return nil
+		default:
+			return fmt.Errorf("filter rule %q: only + - H S P R and ! are served here", printable(text))
+		}
+		for _, m := range mods {
+			switch m {
+			case '/':
+				r.anchored, r.whole = true, true
+			case '!':
+				r.negate = true
+			case 's':
+			case 'r':
+				sender = strings.ContainsRune(mods, 's')
+			case 'p', 'x':
+			default:
+				return fmt.Errorf("filter rule %q: modifier %q is not served here", printable(text), m)
+			}
+		}
+		pattern = rest
+	} else if version >= 29 {
+		return fmt.Errorf("filter rule %q: expected + or - first", printable(text))
+	}
+	if !sender {
+		return nil
+	}
+	if pattern == "" || strings.IndexByte(pattern, 0) >= 0 {
+		return fmt.Errorf("filter rule %q: no pattern", printable(text))
+	}
+	if p, ok := strings.CutPrefix(pattern, "/"); ok {
+		r.anchored, pattern = true, p
+	}
+	if p, ok := strings.CutSuffix(pattern, "/"); ok && p != "" {
+		r.dirOnly, pattern = true, p
+	}
+	r.pattern = pattern
+	r.whole = r.anchored || strings.Contains(pattern, "/") || strings.Contains(pattern, "**")
+	f.rules = append(f.rules, r)
+	return nil
+}
+
+// splitRule parts "-! pattern" into its kind with modifiers and the pattern.
+func splitRule(text string) (kind, pattern string, ok bool) {
+	if text == "" || !strings.ContainsRune("+-HSPR!.:", rune(text[0])) {
+		return "", "", false
+	}
+	at := strings.IndexAny(text, " _")
+	if at < 1 || at > 6 {
+		return "", "", false
+	}
+	return text[:at], text[at+1:], true
+}
+
+// leavesOut says that the path, relative to the root of the transfer, is excluded.
+func (f *filter) leavesOut(path string, dir bool) bool {
+	for i := range f.rules {
+		r := &f.rules[i]
+		if r.dirOnly && !dir {
+			continue
+		}
+		if r.match(path, dir) != r.negate {
+			return !r.include
+		}
+	}
+	return false
+}
+
+func (r *rule) match(path string, dir bool) bool {
+	pattern := r.pattern
+	if !r.whole {
+		if i := strings.LastIndexByte(path, '/'); i >= 0 {
+			path = path[i+1:]
+		}
+		return wildMatch(pattern, path)
+	}
+	if p, ok := strings.CutSuffix(pattern, "/***"); ok { // the directory and all in it
+		if dir && r.matchTail(p, path) {
+			return true
+		}
+		pattern = p + "/**"
+	}
+	return r.matchTail(pattern, path)
+}
+
+// matchTail matches a pattern with slashes against the whole path if anchored, else
+// against any tail that begins at a name.
+func (r *rule) matchTail(pattern, path string) bool {
+	if wildMatch(pattern, path) {
+		return true
+	}
+	if r.anchored {
+		return false
+	}
+	for i := 0; i < len(path); i++ {
+		if path[i] == '/' && wildMatch(pattern, path[i+1:]) {
+			return true
+		}
+	}
+	return false
+}
+
+// wildMatch matches a pattern with *, **, ? and [...] against a whole text: only **
+// matches slashes. Its time is bounded by the product of both lengths: it keeps the
+// set of pattern places that are reached, as a Thompson machine does.
+func wildMatch(pattern, text string) bool {
+	if !strings.ContainsAny(pattern, `*?[\`) {
+		return pattern == text
+	}
+	ops := compile(pattern)
+	now, next := make([]bool, len(ops)+1), make([]bool, len(ops)+1)
+	reach := func(set []bool, i int) {
+		for set[i] = true; i < len(ops) && ops[i].star; i++ {
+			set[i+1] = true
+		}
+	}
+	reach(now, 0)
+	for k := 0; k < len(text); k++ {
+		clear(next)
+		c := text[k]
+		for i, on := range now[:len(ops)] {
+			switch {
+			case !on:
+			case ops[i].star:
+				if c != '/' || ops[i].deep {
+					reach(next, i)
+				}
+			case ops[i].takes(c):
+				reach(next, i+1)
+			}
+		}
+		now, next = next, now
+	}
+	return now[len(ops)]
+}
+
+// op is one step of a pattern: a star, or a set of bytes.
+type op struct {
+	star, deep bool
+	set        [4]uint64
+}
+
+func (o *op) add(c byte)        { o.set[c>>6] |= 1 << (c & 63) }
+func (o *op) takes(c byte) bool { return o.set[c>>6]&(1<<(c&63)) != 0 }
+
+func compile(p string) []op {
+	var ops []op
+	for i := 0; i < len(p); i++ {
+		o := op{}
+		switch c := p[i]; {
+		case c == '*':
+			o.star = true
+			for i+1 < len(p) && p[i+1] == '*' {
+				o.deep = true
+				i++
+			}
+		case c == '?':
+			for b := 0; b < 256; b++ {
+				if b != '/' {
+					o.add(byte(b))
+				}
+			}
+		case c == '[':
+			if end, ok := o.class(p[i:]); ok {
+				i += end
+			} else {
+				o.add('[')
+			}
+		case c == '\\' && i+1 < len(p):
+			i++
+			o.add(p[i])
+		default:
+			o.add(c)
+		}
+		ops = append(ops, o)
+	}
+	return ops
+}
+
+// class reads "[...]"; it returns the index of its end.
+func (o *op) class(p string) (int, bool) {
+	i, not := 1, false
+	if i < len(p) && (p[i] == '!' || p[i] == '^') {
+		not, i = true, i+1
+	}
+	for first := true; i < len(p) && (p[i] != ']' || first); first = false {
+		lo := p[i]
+		if lo == '\\' && i+1 < len(p) {
+			i++
+			lo = p[i]
+		}
+		hi := lo
+		if i+2 < len(p) && p[i+1] == '-' && p[i+2] != ']' {
+			hi, i = p[i+2], i+2
+		}
+		for b := int(lo); b <= int(hi); b++ {
+			o.add(byte(b))
+		}
+		i++
+	}
+	if i >= len(p) {
+		o.set = [4]uint64{}
+		return 0, false
+	}
+	if not {
+		for k := range o.set {
+			o.set[k] = ^o.set[k]
+		}
+	}
+	o.set['/'>>6] &^= 1 << ('/' & 63)
+	return i, true
+}
+
+// readFilter takes the list of rules that opens a pull.
+func (s *Session) readFilter() *filter {
+	f := &filter{}
+	sum := 0
+	for number := 1; ; number++ {
+		n := s.readInt()
+		if n == 0 {
+			return f
+		}
+		if n < 0 || n >= maxName || number > maxRules || sum+int(n) > maxRuleSum {
+			fail("filter list: rule %d of %d bytes: at most %d rules of %d bytes, %d in all",
+				number, n, maxRules, maxName-1, maxRuleSum)
+		}
+		sum += int(n)
+		if err := f.add(string(s.need(int(n))), s.version); err != nil {
+			s.say(msgError, "eiderhold: %v", err)
+			fail("refused: %v", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rsync/flist.go
@@ -0,0 +1,253 @@
+package rsync
+
+import (
+	"slices"
+	"strings"
+)
+
+// The flags of a file list entry, protocols 27 to 29.
+const (
+	flagTopDir       = 1 << 0
+	flagSameMode     = 1 << 1
+	flagExtended     = 1 << 2 // from 28 on: another byte of flags follows
+	flagSameUID      = 1 << 3
+	flagSameGID      = 1 << 4
+	flagSameName     = 1 << 5
+	flagLongName     = 1 << 6
+	flagSameTime     = 1 << 7
+	flagSameRdevHigh = 1 << 8
+	flagRdevLow8     = 1 << 11
+)
+
+// listCoder is what file list entries share with the entry before.
+type listCoder struct {
+	name     string
+	mode     uint32
+	mtime    int64
+	uid, gid uint32
+	rdevHigh int32
+}
+
+// writeEntry sends one entry of the file list. name is how the client is to see it.
+func (s *Session) writeEntry(c *listCoder, f *File, name string, top bool) {
+	o, flags := &s.opt, 0
+	if top {
+		flags |= flagTopDir
+	}
+	if f.Mode == c.mode {
+		flags |= flagSameMode
+	}
+	if f.MTime == c.mtime {
+		flags |= flagSameTime
+	}
+	if o.owner && f.UID == c.uid {
+		flags |= flagSameUID
+	}
+	if o.group && f.GID == c.gid {
+		flags |= flagSameGID
+	}
+	same := 0
+	for same < min(len(name), len(c.name), 255) && name[same] == c.name[same] {
+		same++
+	}
+	if same > 0 {
+		flags |= flagSameName
+	}
+	rest := name[same:]
+	if len(rest) > 255 {
+		flags |= flagLongName
+	}
+	if flags == 0 && !f.IsDir() {
+		flags |= flagTopDir // means nothing on a file, and an entry's flags are never 0
+	}
+	switch {
+	case s.version >= 28 && flags == 0:
+		s.writeShort(flagExtended)
+	case s.version < 28 && flags == 0:
+		flags |= flagLongName
+		s.writeByte(byte(flags))
+	default:
+		s.writeByte(byte(flags))
+	}
+	if flags&flagSameName != 0 {
+		s.writeByte(byte(same))
+	}
+	if flags&flagLongName != 0 {
+		s.writeInt(int32(len(rest)))
+	} else {
+		s.writeByte(byte(len(rest)))
+	}
+	s.writeString(rest)
+	s.writeLong(f.Size)
+	if flags&flagSameTime == 0 {
+		s.writeInt(int32(f.MTime))
+	}
+	if flags&flagSameMode == 0 {
+		s.writeInt(int32(f.Mode))
+	}
+	if o.owner && flags&flagSameUID == 0 {
+		s.writeInt(int32(f.UID))
+	}
+	if o.group && flags&flagSameGID == 0 {
+		s.writeInt(int32(f.GID))
+	}
+	if o.links && f.IsLink() {
+		s.writeInt(int32(len(f.Link)))
+		s.writeString(f.Link)
+	}
+	*c = listCoder{name: name, mode: f.Mode, mtime: f.MTime, uid: f.UID, gid: f.GID}
+}
+
+// readEntry takes one entry of a client's file list; false at its end.
+func (s *Session) readEntry(c *listCoder, number int) (File, bool) {
+	o := &s.opt
+	flags := int(s.readByte())
+	if flags == 0 {
+		return File{}, false
+	}
+	if s.version >= 28 && flags&flagExtended != 0 {
+		flags |= int(s.readByte()) << 8
+	}
+	same := 0
+	if flags&flagSameName != 0 {
+		same = int(s.readByte())
+	}
+	n := 0
+	if flags&flagLongName != 0 {
+		n = int(s.readInt())
+	} else {
+		n = int(s.readByte())
+	}
+	if n < 0 || same > len(c.name) || same+n >= maxName || same+n == 0 {
+		fail("file list: entry %d: a name of %d+%d bytes after one of %d", number, same, n, len(c.name))
+	}
+	c.name = c.name[:same] + string(s.need(n))
+	size := s.readLong()
+	if size < 0 {
+		fail("file list: entry %d: %d bytes long", number, size)
+	}
+	if flags&flagSameTime == 0 {
+		c.mtime = int64(s.readInt())
+	}
+	if flags&flagSameMode == 0 {
+		c.mode = uint32(s.readInt())
+	}
+	if o.owner && flags&flagSameUID == 0 {
+		c.uid = uint32(s.readInt())
+	}
+	if o.group && flags&flagSameGID == 0 {
+		c.gid = uint32(s.readInt())
+	}
+	path, err := CleanPath(c.name)
+	if err != nil {
+		fail("file list: entry %d: %v", number, err)
+	}
+	f := File{Path: path, Mode: c.mode, Size: size, MTime: c.mtime, UID: c.uid, GID: c.gid}
+	switch f.Mode & typeMask {
+	case typeLink:
+		if o.links {
+			n := s.readInt()
+			if n <= 0 || n >= maxName {
+				fail("file list: entry %d: a link target of %d bytes", number, n)
+			}
+			f.Link = string(s.need(int(n)))
+			if strings.IndexByte(f.Link, 0) >= 0 {
+				fail("file list: entry %d: a link target with a NUL byte", number)
+			}
+		}
+	case 0o020000, 0o060000: // devices
+		if o.devices {
+			s.readRdev(c, flags)
+		}
+	case 0o010000, 0o140000: // FIFOs and sockets
+		if o.specials {
+			s.readRdev(c, flags)
+		}
+	}
+	return f, true
+}
+
+// readRdev passes over a device's numbers.
+func (s *Session) readRdev(c *listCoder, flags int) {
+	if s.version < 28 {
+		if flags&flagExtended == 0 { // there this bit says: the same device as before
+			s.readInt()
+		}
+		return
+	}
+	if flags&flagSameRdevHigh == 0 {
+		c.rdevHigh = s.readInt()
+	}
+	if flags&flagRdevLow8 != 0 {
+		s.readByte()
+	} else {
+		s.readInt()
+	}
+}
+
+// sortList brings a list into the order that both sides count in.
+func sortList(list []File, version int) {
+	compare := func(a, b File) int { return strings.Compare(a.Path, b.Path) }
+	if version >= 29 {
+		compare = compareFiles
+	}
+	slices.SortStableFunc(list, compare)
+}
+
+// compareFiles is the order of protocol 29: in each directory first what is no
+// directory, then the directories, each followed by its content; "." first of all.
+// Directories compare with a slash behind their names.
+func compareFiles(a, b File) int {
+	x, y := a.Path, b.Path
+	if x == "." || y == "." {
+		if x == y {
+			return 0
+		}
+		if x == "." {
+			return -1
+		}
+		return 1
+	}
+	for {
+		i, j := strings.IndexByte(x, '/'), strings.IndexByte(y, '/')
+		dirX, dirY := i >= 0 || a.IsDir(), j >= 0 || b.IsDir()
+		if dirX != dirY {
+			if dirY {
+				return -1
+			}
+			return 1
+		}
+		nameX, nameY := x, y
+		if i >= 0 {
+			nameX = x[:i]
+		}
+		if j >= 0 {
+			nameY = y[:j]
+		}
+		if nameX != nameY {
+			if dirX {
+				return strings.Compare(nameX+"/", nameY+"/")
+			}
+			return strings.Compare(nameX, nameY)
+		}
+		switch { // the same name: the directory itself before what is in it
+		case i < 0 && j < 0:
+			return 0
+		case i < 0:
+			return -1
+		case j < 0:
+			return 1
+		}
+		x, y = x[i+1:], y[j+1:]
+	}
+}
+
+// readIDs passes over one list of names of users or groups.
+func (s *Session) readIDs() {
+	for n := 0; s.readInt() != 0; n++ {
+		if n > maxIDs {
+			fail("file list: more than %d names of users or groups", maxIDs)
+		}
+		s.need(int(s.readByte()))
+	}
+}
--- /dev/null
+++ b/internal/rsync/handshake.go
@@ -0,0 +1,222 @@
+package rsync
+
+import (
+	"crypto/subtle"
+	"encoding/base64"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"golang.org/x/crypto/md4"
+)
+
+// run is the whole session, in the order of the protocol.
+func (s *Session) run() {
+	s.writeString(fmt.Sprintf("@RSYNCD: %d\n", newest))
+	s.greeting(s.readLine())
+	if motd := s.gw.MOTD(); motd != "" {
+		s.writeString(strings.TrimRight(motd, "\n") + "\n")
+	}
+	s.phase = "module name"
+	name := s.readLine()
+	if name == "" || name == "#list" {
+		for _, m := range s.gw.Modules() {
+			if !m.Hidden {
+				s.writeString(fmt.Sprintf("%-15s\t%s\n", m.Name, m.Comment))
+			}
+		}
+		s.writeString("@RSYNCD: EXIT\n")
+		return
+	}
+	if strings.HasPrefix(name, "#") {
+		s.refuse("Unknown command '%s'", name)
+	}
+	module, ok := s.gw.Module(name)
+	if !ok {
+		s.refuse("Unknown module '%s'", printable(name))
+	}
+	user := s.login(module)
+	if limit, ok := s.gw.Enter(module.Name); !ok {
+		s.refuse("max connections (%d) reached -- try again later", limit)
+	}
+	s.writeString("@RSYNCD: OK\n")
+	s.phase = "arguments"
+	args := s.arguments()
+	s.seed = s.gw.Seed()
+	s.writeInt(int32(s.seed))
+	s.mux = true
+	opt, err := parseOptions(args)
+	if err == nil {
+		err = opt.check(module)
+	}
+	if err != nil {
+		s.say(msgError, "eiderhold: %v", err)
+		panic(fault{fmt.Errorf("rsync: refused: %w", err)})
+	}
+	for _, note := range opt.notes {
+		s.say(msgInfo, "eiderhold: %s", note)
+	}
+	s.opt = opt
+	paths, err := modulePaths(module.Name, opt.paths)
+	if err == nil {
+		s.tree, err = s.gw.Begin(Transfer{Module: module.Name, User: user, Push: !opt.sender, Paths: paths,
+			Timeout: opt.timeout, BWLimit: opt.bwlimit, DryRun: opt.dryRun, Protocol: s.version})
+	}
+	if err != nil {
+		s.say(msgError, "eiderhold: %v", err)
+		panic(fault{fmt.Errorf("rsync: refused: %w", err)})
+	}
+	if opt.sender {
+		s.send(paths)
+	} else {
+		s.receive(paths)
+	}
+}
+
+// refuse ends the handshake with the line that clients show and exit 5 on.
+func (s *Session) refuse(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	s.writeString("@ERROR: " + text + "\n")
+	fail("%s: refused: %s", s.phase, text)
+}
+
+// printable keeps a client's text from upsetting a terminal or a log.
+func printable(t string) string {
+	q := strconv.Quote(t)
+	return q[1 : len(q)-1]
+}
+
+// greeting takes the client's line: "@RSYNCD: 31.0 sha512 sha256 sha1 md5 md4", with
+// or without what follows the version.
+func (s *Session) greeting(line string) {
+	rest, ok := strings.CutPrefix(line, "@RSYNCD: ")
+	number, _, _ := strings.Cut(rest, " ")
+	major, _, _ := strings.Cut(number, ".")
+	v, err := strconv.Atoi(major)
+	if !ok || err != nil || v < 0 {
+		s.refuse("protocol startup error")
+	}
+	if v < oldest {
+		s.refuse("protocol version %d is not served: %d or later is", v, oldest)
+	}
+	s.version = min(v, newest)
+}
+
+// login asks for a user where the module names who may enter. The answer is the
+// base64 of MD4 over password and challenge, as protocols before 30 have it; some
+// clients put four zero bytes before both.
+func (s *Session) login(m Module) string {
+	if len(m.Users) == 0 {
+		return ""
+	}
+	s.phase = "login"
+	challenge := s.gw.Challenge()
+	s.writeString("@RSYNCD: AUTHREQD " + challenge + "\n")
+	user, response, _ := strings.Cut(s.readLine(), " ")
+	secret, known := s.gw.Secret(m.Name, user)
+	good := subtle.ConstantTimeCompare([]byte(response), []byte(Response(secret, challenge, false))) |
+		subtle.ConstantTimeCompare([]byte(response), []byte(Response(secret, challenge, true)))
+	if !known || !slices.Contains(m.Users, user) || good != 1 {
+		s.refuse("auth failed on module %s", m.Name)
+	}
+	return user
+}
+
+// Response is a client's answer to a challenge. seeded puts four zero bytes first.
+func Response(secret, challenge string, seeded bool) string {
+	h := md4.New()
+	if seeded {
+		h.Write(make([]byte, 4))
+	}
+	h.Write([]byte(secret))
+	h.Write([]byte(challenge))
+	return base64.RawStdEncoding.EncodeToString(h.Sum(nil))
+}
+
+// arguments reads the argument lines up to the empty one.
+func (s *Session) arguments() []string {
+	var args []string
+	sum := 0
+	for {
+		a := s.readLine()
+		if a == "" {
+			return args
+		}
+		if sum += len(a); len(args) >= maxArgs || sum > maxArgBytes {
+			s.refuse("more than %d arguments or %d bytes of them", maxArgs, maxArgBytes)
+		}
+		args = append(args, a)
+	}
+}
+
+// modulePaths turns "module/path" arguments into paths in the module. A trailing
+// slash stays: it asks for a directory's content.
+func modulePaths(module string, args []string) ([]string, error) {
+	paths := make([]string, 0, len(args))
+	for _, a := range args {
+		p, ok := strings.CutPrefix(a, module)
+		if !ok || p != "" && p[0] != '/' {
+			return nil, fmt.Errorf("path %q does not begin with the module's name", printable(a))
+		}
+		slash := strings.HasSuffix(p, "/")
+		p = strings.Trim(p, "/")
+		if p == "" {
+			paths = append(paths, "./")
+			continue
+		}
+		clean, err := CleanPath(p)
+		if err != nil {
+			return nil, err
+		}
+		if slash && clean != "." {
+			clean += "/"
+		} else if clean == "." {
+			clean = "./"
+		}
+		paths = append(paths, clean)
+	}
+	if len(paths) == 0 {
+		return nil, fmt.Errorf("no path given")
+	}
+	return paths, nil
+}
+
+// CleanPath checks a relative path that came from a client: no empty name, no "..",
+// no NUL, not absolute, at most 4095 bytes with names of at most 255. Single dots
+// and doubled slashes are dropped.
+func CleanPath(p string) (string, error) {
+	switch {
+	case p == "":
+		return "", fmt.Errorf("a name of 0 bytes")
+	case len(p) >= maxName:
+		return "", fmt.Errorf("a name of %d bytes: at most %d", len(p), maxName-1)
+	case p[0] == '/':
+		return "", fmt.Errorf("name %q is absolute", printable(p))
+	case strings.IndexByte(p, 0) >= 0:
+		return "", fmt.Errorf("name %q has a NUL byte", printable(p))
+	}
+	plain := true
+	for part := range strings.SplitSeq(p, "/") {
+		if part == ".." {
+			return "", fmt.Errorf("name %q has a '..' part", printable(p))
+		}
+		if len(part) > 255 {
+			return "", fmt.Errorf("a part of a name of %d bytes: at most 255", len(part))
+		}
+		plain = plain && part != "" && part != "."
+	}
+	if plain {
+		return p, nil
+	}
+	var parts []string
+	for part := range strings.SplitSeq(p, "/") {
+		if part != "" && part != "." {
+			parts = append(parts, part)
+		}
+	}
+	if len(parts) == 0 {
+		return ".", nil
+	}
+	return strings.Join(parts, "/"), nil
+}
--- /dev/null
+++ b/internal/rsync/options.go
@@ -0,0 +1,176 @@
+package rsync
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// options are what a client's arguments ask for.
+type options struct {
+	sender bool // the server sends: a pull
+	paths  []string
+
+	recurse, dirs, links, perms, times, owner, group, devices, specials bool
+	dryRun, wholeFile, ignoreTimes, sizeOnly, update                    bool
+	ignoreExisting, existingOnly, omitDirTimes, omitLinkTimes           bool
+	numericIDs, prune, partial, listOnly                                bool
+	timeout, bwlimit                                                    int
+	verbose                                                             int
+	notes                                                               []string
+	refused                                                             error // the first option that is not done
+}
+
+// A short option either sets something, changes nothing that the user gets, or is
+// refused.
+var shortFlags = map[byte]func(*options){
+	'r': func(o *options) { o.recurse = true },
+	'd': func(o *options) { o.dirs = true },
+	'l': func(o *options) { o.links = true },
+	'p': func(o *options) { o.perms = true },
+	't': func(o *options) { o.times = true },
+	'o': func(o *options) { o.owner = true },
+	'g': func(o *options) { o.group = true },
+	'D': func(o *options) { o.devices, o.specials = true, true },
+	'n': func(o *options) { o.dryRun = true },
+	'W': func(o *options) { o.wholeFile = true },
+	'I': func(o *options) { o.ignoreTimes = true },
+	'u': func(o *options) { o.update = true },
+	'm': func(o *options) { o.prune = true },
+	'O': func(o *options) { o.omitDirTimes = true },
+	'J': func(o *options) { o.omitLinkTimes = true },
+	'v': func(o *options) { o.verbose++ },
+	'q': func(*options) {},
+	'h': func(*options) {},
+	'i': func(*options) {}, // the client itemizes
+	'S': func(*options) {}, // sparseness is the client's disk's, content is the same
+	'x': func(*options) {}, // a module is one file system
+	'y': func(*options) {}, // a similar basis saves bytes, content is the same
+	'8': func(*options) {},
+}
+
+var shortRefused = map[byte]string{
+	'z': "-z (--compress): compression is not done here",
+	'c': "-c (--checksum)", 'H': "-H (--hard-links)", 'A': "-A (--acls)", 'X': "-X (--xattrs)",
+	'R': "-R (--relative)", 'L': "-L (--copy-links)", 'k': "-k (--copy-dirlinks)",
+	'K': "-K (--keep-dirlinks)", 'E': "-E (--executability)", 'U': "-U (--atimes)", 'N': "-N (--crtimes)",
+	'b': "-b (--backup)", 'C': "-C (--cvs-exclude)", 's': "-s (--secluded-args)", 'F': "-F", 'f': "-f (--filter)",
+}
+
+var longFlags = map[string]func(*options){
+	"server":              func(*options) {},
+	"sender":              func(o *options) { o.sender = true },
+	"numeric-ids":         func(o *options) { o.numericIDs = true },
+	"size-only":           func(o *options) { o.sizeOnly = true },
+	"ignore-existing":     func(o *options) { o.ignoreExisting = true },
+	"existing":            func(o *options) { o.existingOnly = true },
+	"ignore-non-existing": func(o *options) { o.existingOnly = true },
+	"partial":             func(o *options) { o.partial = true },
+	"list-only":           func(o *options) { o.listOnly = true },
+	"devices":             func(o *options) { o.devices = true },
+	"specials":            func(o *options) { o.specials = true },
+	"no-specials":         func(o *options) { o.specials = false },
+	"stats":               func(*options) {},
+	"no-msgs2stderr":      func(*options) {},
+	"msgs2stderr":         func(*options) {},
+	"no-implied-dirs":     func(*options) {},
+	"no-inc-recursive":    func(*options) {},
+	"no-i-r":              func(*options) {},
+	"old-args":            func(*options) {},
+	"open-noatime":        func(*options) {},
+	"super":               func(*options) {},
+	"no-W":                func(o *options) { o.wholeFile = false },
+}
+
+// longPlain take a value and change nothing that the user gets from this side.
+var longPlain = map[string]bool{"log-format": true, "out-format": true, "info": true, "debug": true,
+	"skip-compress": true}
+
+// parseOptions reads a client's argument lines.
+func parseOptions(args []string) (options, error) {
+	var o options
+	server := false
+	for i, a := range args {
+		switch {
+		case a == ".": // what comes now are paths
+			o.paths = args[i+1:]
+			if !server {
+				return o, fmt.Errorf("arguments: --server is missing")
+			}
+			return o, o.refused
+		case strings.HasPrefix(a, "--"):
+			name, value, has := strings.Cut(a[2:], "=")
+			server = server || name == "server"
+			o.long(name, value, has)
+		case strings.HasPrefix(a, "-"):
+			o.short(a[1:])
+		default:
+			return o, fmt.Errorf("arguments: %q stands before the paths' '.'", printable(a))
+		}
+	}
+	return o, fmt.Errorf("arguments: no '.' before the paths")
+}
+
+func (o *options) refuse(what string) {
+	if o.refused == nil {
+		o.refused = fmt.Errorf("option %s is not served here; leave it out", what)
+	}
+}
+
+func (o *options) short(bundle string) {
+	for i := 0; i < len(bundle); i++ {
+		c := bundle[i]
+		if c == 'e' { // what follows tells the client's version and abilities
+			return
+		}
+		if set := shortFlags[c]; set != nil {
+			set(o)
+		} else if text := shortRefused[c]; text != "" {
+			o.refuse(text)
+		} else {
+			o.refuse(fmt.Sprintf("-%s", printable(string(c))))
+		}
+	}
+}
+
+func (o *options) long(name, value string, has bool) {
+	number := func(to *int, most int) {
+		n, err := strconv.Atoi(value)
+		if err != nil || n < 0 || n > most {
+			o.refuse(fmt.Sprintf("--%s=%s (expected 0 to %d)", name, printable(value), most))
+			return
+		}
+		*to = n
+	}
+	switch {
+	case name == "timeout" && has:
+		number(&o.timeout, 1<<20)
+	case name == "bwlimit" && has:
+		number(&o.bwlimit, 1<<30)
+	case has && longPlain[name]:
+	case !has && longFlags[name] != nil:
+		longFlags[name](o)
+	case strings.HasPrefix(name, "del") || name == "max-delete" || name == "force":
+		o.refuse("--" + printable(name) + " (nothing is deleted through a push)")
+	default:
+		o.refuse("--" + printable(name))
+	}
+}
+
+// check holds the options against the module.
+func (o *options) check(m Module) error {
+	switch {
+	case o.sender && m.WriteOnly:
+		return fmt.Errorf("module %s is write only", m.Name)
+	case !o.sender && m.ReadOnly:
+		return fmt.Errorf("module %s is read only", m.Name)
+	case !o.sender && o.prune:
+		return fmt.Errorf("option -m (--prune-empty-dirs) is not served on a push; leave it out")
+	case !o.sender && len(o.paths) != 1:
+		return fmt.Errorf("a push has one destination, not %d", len(o.paths))
+	}
+	if !o.sender && o.partial {
+		o.notes = append(o.notes, "--partial: a file that is cut off is not kept here, the old one stays whole")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rsync/rsync.go
@@ -0,0 +1,445 @@
+// Package rsync is the server side of the rsync daemon protocol, versions 27 to 29:
+// sessions that are fed the client's bytes and return bytes for it. It opens no
+// socket, reads no clock and knows no storage node: what it needs of the gateway
+// is the interface Gateway, whose methods never block. Its caller is
+// internal/front/rsync. Source: the rsync technical report (A. Tridgell and
+// P. Mackerras, TR-CS-96-05), the manual pages rsync(1) and rsyncd.conf(5), and the
+// protocol as current clients speak it, checked against one.
+//
+// A session is written top to bottom, in the order of the protocol, as a coroutine
+// (iter.Pull): where it lacks bytes, room or an extent it yields, and Resume lets it
+// look again.
+package rsync
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"iter"
+)
+
+// The protocol versions that a session speaks.
+const (
+	newest = 29
+	oldest = 27
+)
+
+// The ceilings of what a client may make a session hold. What goes over one ends
+// the session with an error that names it.
+const (
+	maxLine     = 4096      // bytes of a line of the handshake
+	maxArgs     = 1000      // arguments
+	maxArgBytes = 64 << 10  // bytes of all arguments
+	maxName     = 4096      // bytes of a path
+	maxRules    = 10_000    // exclusion rules
+	maxRuleSum  = 1 << 20   // bytes of all rules
+	maxSums     = 1 << 20   // block sums of one file
+	maxBlock    = 1 << 29   // bytes of a block
+	maxToken    = 1 << 20   // bytes of literal data behind one count
+	maxIDs      = 100_000   // names of users or groups
+	highWater   = 256 << 10 // bytes for the client that wait before a session pauses
+	// InputHigh is how many of the client's bytes a session holds at most before
+	// its caller must stop feeding it.
+	InputHigh = 128 << 10
+)
+
+// Module is one module as clients see it.
+type Module struct {
+	Name, Comment string
+	Hidden        bool // not listed
+	ReadOnly      bool
+	WriteOnly     bool
+	Users         []string // who may enter; empty: everyone, unasked
+}
+
+// File is an entry of a module's tree. Path is relative to the module's root, with
+// slashes, "." for the root itself. Mode has the type bits of st_mode.
+type File struct {
+	Path     string
+	Mode     uint32
+	Size     int64 // bytes; also above 4 GiB
+	MTime    int64 // seconds since 1970
+	UID, GID uint32
+	Link     string // target of a symbolic link
+	Ref      any    // the catalogue's, untouched here
+}
+
+// The type bits of a mode, as st_mode has them.
+const (
+	typeMask = 0o170000
+	typeDir  = 0o040000
+	typeFile = 0o100000
+	typeLink = 0o120000
+	permMask = 0o7777
+)
+
+// IsDir says that the entry is a directory.
+func (f *File) IsDir() bool { return f.Mode&typeMask == typeDir }
+
+// IsRegular says that the entry is a file with content.
+func (f *File) IsRegular() bool { return f.Mode&typeMask == typeFile }
+
+// IsLink says that the entry is a symbolic link.
+func (f *File) IsLink() bool { return f.Mode&typeMask == typeLink }
+
+// Gateway is what a session asks of the program around it. No method blocks.
+type Gateway interface {
+	Modules() []Module
+	Module(name string) (Module, bool)
+	MOTD() string
+	Challenge() string // fresh random text for a login
+	Seed() uint32      // fresh checksum seed, not 0
+	Secret(module, user string) (string, bool)
+	Enter(module string) (limit int, ok bool) // takes one of the module's connections
+	Begin(Transfer) (Tree, error)
+	MaxFiles() int // entries of a file list
+}
+
+// Transfer says what a client has asked for once its options are known.
+type Transfer struct {
+	Module   string
+	User     string
+	Push     bool
+	Paths    []string
+	Timeout  int // the client's --timeout, seconds; 0: none
+	BWLimit  int // KiB a second; 0: none
+	DryRun   bool
+	Protocol int
+}
+
+// Tree is a module during one transfer.
+type Tree interface {
+	Stat(path string) (File, bool, error)
+	// Scan returns up to n entries below a directory, without it, in the order of
+	// their paths, that come after the given one ("" for the first); only the
+	// directory's own entries unless deep.
+	Scan(dir, after string, deep bool, n int) ([]File, error)
+	Open(File) Reader
+	Create(File) Writer // of a regular file that replaces the one at its path
+	Put(File) Pending   // a directory, a link, or other attributes of a file
+	Log(what, path string, err error)
+	End(err error) // the transfer is over
+}
+
+// ErrEnd marks an error of a Reader or a Pending after which the whole transfer ends,
+// not only its file.
+var ErrEnd = errors.New("the transfer ends")
+
+// Reader reads a file of which only parts are there yet.
+type Reader interface {
+	// At returns up to n bytes at an offset, at least one; ok is false while they
+	// are on their way. The bytes are good until the next call.
+	At(off int64, n int) (p []byte, ok bool, err error)
+	Close()
+}
+
+// Pending is something under way.
+type Pending interface {
+	Done() (bool, error)
+}
+
+// Writer takes a file's bytes in order.
+type Writer interface {
+	Pending             // after Finish: all extents served and the catalogue changed
+	Room() bool         // it can take more
+	Write(p []byte)     // takes all of p, copied
+	Finish(final File)  // no more bytes come
+	Abort(reason error) // the file is not to be
+}
+
+// Session is one client's connection.
+type Session struct {
+	gw   Gateway
+	next func() (struct{}, bool)
+	stop func()
+
+	yield func(struct{}) bool
+	in    []byte
+	off   int  // bytes of in that are used up
+	eof   bool // the client will send nothing more
+	out   []byte
+	data  []byte // file data not yet in a frame
+	mux   bool
+	idle  func() // work that goes on while the session waits for input
+
+	readBytes, wroteBytes int64
+	version               int
+	err                   error
+	over                  bool
+	tree                  Tree
+	ended                 bool // the tree was told
+	phase                 string
+	opt                   options
+	seed                  uint32
+}
+
+// NewSession starts a session. Out holds the greeting.
+func NewSession(gw Gateway) *Session {
+	s := &Session{gw: gw, phase: "greeting"}
+	s.next, s.stop = iter.Pull(func(yield func(struct{}) bool) {
+		s.yield = yield
+		s.err = s.guard()
+	})
+	s.Resume()
+	return s
+}
+
+// fault is a failure that ends the session, thrown inside it.
+type fault struct{ error }
+
+var errStopped = errors.New("rsync: stopped")
+
+// guard runs the session and turns faults into its error.
+func (s *Session) guard() (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			f, ok := p.(fault)
+			if !ok {
+				panic(p)
+			}
+			err = f.error
+		}
+	}()
+	s.run()
+	return nil
+}
+
+func fail(format string, args ...any) {
+	panic(fault{fmt.Errorf("rsync: "+format, args...)})
+}
+
+// Feed takes bytes of the client and lets the session go on.
+func (s *Session) Feed(p []byte) {
+	if s.off > 0 && s.off == len(s.in) {
+		s.in, s.off = s.in[:0], 0
+	} else if s.off > 32<<10 {
+		s.in = s.in[:copy(s.in, s.in[s.off:])]
+		s.off = 0
+	}
+	s.in = append(s.in, p...)
+	s.readBytes += int64(len(p))
+	s.Resume()
+}
+
+// EOF says that the client sends nothing more.
+func (s *Session) EOF() {
+	s.eof = true
+	s.Resume()
+}
+
+// Held is the number of the client's bytes that the session holds unread.
+func (s *Session) Held() int { return len(s.in) - s.off }
+
+// Resume lets the session look again at what it waits for.
+func (s *Session) Resume() {
+	if s.over {
+		return
+	}
+	if _, more := s.next(); !more {
+		s.finish()
+	}
+}
+
+func (s *Session) finish() {
+	s.over = true
+	s.flush()
+	if s.tree != nil && !s.ended {
+		s.ended = true
+		s.tree.End(s.err)
+	}
+}
+
+// Out returns the bytes for the client and forgets them once Sent is called.
+func (s *Session) Out() []byte { return s.out }
+
+// Sent says that n bytes of Out have been taken.
+func (s *Session) Sent(n int) {
+	s.wroteBytes += int64(n)
+	if n == len(s.out) {
+		s.out = s.out[:0]
+		if cap(s.out) > 4*highWater {
+			s.out = nil
+		}
+		return
+	}
+	s.out = s.out[:copy(s.out, s.out[n:])]
+}
+
+// Over says that the session has ended and with what. After its last bytes are out
+// the connection is to be closed.
+func (s *Session) Over() (bool, error) { return s.over, s.err }
+
+// Phase names what the session is at, for logs.
+func (s *Session) Phase() string { return s.phase }
+
+// InTransfer says that the handshake is over.
+func (s *Session) InTransfer() bool { return s.tree != nil }
+
+// Close ends a session whose client has gone or is sent away.
+func (s *Session) Close(reason error) {
+	if s.over {
+		return
+	}
+	s.stop() // the coroutine sees its yield refused and unwinds
+	s.over = true
+	if s.err == nil || errors.Is(s.err, errStopped) {
+		s.err = reason
+	}
+	if s.tree != nil && !s.ended {
+		s.ended = true
+		s.tree.End(s.err)
+	}
+}
+
+// wait yields until the caller has news.
+func (s *Session) wait() {
+	if s.idle != nil {
+		s.idle()
+	}
+	s.flush()
+	if !s.yield(struct{}{}) {
+		panic(fault{errStopped})
+	}
+}
+
+// room waits until the client has taken enough of what is for it.
+func (s *Session) room() {
+	for len(s.out)+len(s.data) > highWater {
+		s.wait()
+	}
+}
+
+// ---- input ----
+
+// need waits for n bytes and returns them; they are good until the next wait.
+func (s *Session) need(n int) []byte {
+	for len(s.in)-s.off < n {
+		if s.eof {
+			fail("%s: the client closed the connection", s.phase)
+		}
+		s.wait()
+	}
+	p := s.in[s.off : s.off+n]
+	s.off += n
+	return p
+}
+
+func (s *Session) readByte() byte { return s.need(1)[0] }
+func (s *Session) readShort() int { return int(binary.LittleEndian.Uint16(s.need(2))) }
+func (s *Session) readInt() int32 { return int32(binary.LittleEndian.Uint32(s.need(4))) }
+func (s *Session) readLong() int64 {
+	if v := s.readInt(); v != -1 {
+		return int64(v)
+	}
+	return int64(binary.LittleEndian.Uint64(s.need(8)))
+}
+
+// readVString reads a string whose length is one byte or two.
+func (s *Session) readVString() string {
+	n := int(s.readByte())
+	if n&0x80 != 0 {
+		n = (n&^0x80)<<8 + int(s.readByte())
+	}
+	if n >= maxName {
+		fail("%s: a name of %d bytes: at most %d", s.phase, n, maxName-1)
+	}
+	return string(s.need(n))
+}
+
+// readLine reads a line of the handshake, without its end.
+func (s *Session) readLine() string {
+	for at := s.off; ; at++ {
+		for at >= len(s.in) {
+			if s.eof {
+				fail("%s: the client closed the connection", s.phase)
+			}
+			done := at - s.off
+			s.wait()
+			at = s.off + done
+		}
+		if at-s.off > maxLine {
+			fail("%s: a line of over %d bytes", s.phase, maxLine)
+		}
+		if c := s.in[at]; c == '\n' || c == 0 {
+			line := string(s.in[s.off:at])
+			s.off = at + 1
+			if len(line) > 0 && line[len(line)-1] == '\r' {
+				line = line[:len(line)-1]
+			}
+			return line
+		}
+	}
+}
+
+// ---- output ----
+
+const frameData = 32 << 10 // bytes of file data in a frame
+
+// The tags of multiplexed output, as protocol 29 knows them.
+const (
+	muxBase  = 7
+	msgData  = 0
+	msgError = 1 // counts as an error of the transfer: the client exits with 23
+	msgInfo  = 2
+)
+
+func (s *Session) write(p []byte) {
+	if !s.mux {
+		s.out = append(s.out, p...)
+		return
+	}
+	for len(p) > 0 {
+		n := min(len(p), frameData-len(s.data))
+		s.data = append(s.data, p[:n]...)
+		p = p[n:]
+		if len(s.data) == frameData {
+			s.flush()
+		}
+	}
+}
+
+func (s *Session) writeByte(b byte)     { s.write([]byte{b}) }
+func (s *Session) writeShort(v int)     { s.write(binary.LittleEndian.AppendUint16(nil, uint16(v))) }
+func (s *Session) writeInt(v int32)     { s.write(binary.LittleEndian.AppendUint32(nil, uint32(v))) }
+func (s *Session) writeString(t string) { s.write([]byte(t)) }
+
+func (s *Session) writeLong(v int64) {
+	if v >= 0 && v <= 0x7fffffff {
+		s.writeInt(int32(v))
+		return
+	}
+	s.writeInt(-1)
+	s.write(binary.LittleEndian.AppendUint64(nil, uint64(v)))
+}
+
+func (s *Session) writeVString(t string) {
+	if len(t) > 0x7f {
+		s.writeByte(byte(len(t)>>8) | 0x80)
+	}
+	s.writeByte(byte(len(t)))
+	s.writeString(t)
+}
+
+// flush puts pending file data into a frame.
+func (s *Session) flush() {
+	if len(s.data) == 0 {
+		return
+	}
+	s.frame(msgData, s.data)
+	s.data = s.data[:0]
+}
+
+func (s *Session) frame(tag int, p []byte) {
+	s.out = binary.LittleEndian.AppendUint32(s.out, uint32((muxBase+tag)<<24|len(p)))
+	s.out = append(s.out, p...)
+}
+
+// say sends a text to the client's user.
+func (s *Session) say(tag int, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	if len(text) > 1000 {
+		text = text[:1000]
+	}
+	s.flush()
+	s.frame(tag, []byte(text+"\n"))
+}
