--- a/cmd/eiderhold/dev.go
+++ b/cmd/eiderhold/dev.go
@@ -9,7 +9,6 @@
 	"github.com/spf13/cobra"
 
 	"eiderhold/internal/config"
-	"eiderhold/internal/register"
 	"eiderhold/internal/standin"
 	"eiderhold/internal/telemetry"
 )
@@ -33,27 +32,20 @@
 			if err != nil {
 				return err
 			}
-			reg, err := standin.StartRegister("", nil)
+			site, err := standin.StartSite(dir, nil)
 			if err != nil {
 				return err
 			}
-			defer reg.Close()
+			defer site.Close()
 			for i := range nodes {
-				disk, err := standin.NewDisk(filepath.Join(dir, fmt.Sprintf("shard-%d", i)))
-				if err != nil {
+				if _, err := site.Add(standin.NodeOptions{ID: fmt.Sprintf("node-%d", i), Shard: i, Cores: 4, Queue: 256,
+					KeyWindow: 1200 * time.Millisecond, Seed: int64(i)}); err != nil {
 					return err
 				}
-				n, err := standin.StartNode(standin.NodeOptions{ID: fmt.Sprintf("node-%d", i), Shard: i, Disk: disk,
-					Cores: 4, Queue: 256, KeyWindow: 1200 * time.Millisecond, Seed: int64(i)})
-				if err != nil {
-					return err
-				}
-				defer n.Close()
-				reg.Set(register.Entry{ID: fmt.Sprintf("node-%d", i), Addr: n.Addr(), Shard: i, State: "ready", Size: 1})
 			}
 			cfg := config.Default()
 			cfg.Gateway.Name, cfg.Gateway.Dir = "dev", filepath.Join(dir, "gateway")
-			cfg.Register.URL = reg.URL()
+			cfg.Register.URL = site.Register.URL()
 			cfg.Rsync.Listen = listen
 			if err := cfg.Check(); err != nil {
 				return err
--- a/internal/front/rsync/transfer.go
+++ b/internal/front/rsync/transfer.go
@@ -172,6 +172,7 @@
 	done    func(error)                             // nil: served
 	shard   int
 	owner   *writer // nil: a read
+	before  string  // what came of the last try that reached a node
 	onDrop  func()
 }
 
@@ -316,6 +317,9 @@
 	p.asked = false
 	now := t.f.opt.Host.Now()
 	kind, why := p.ended(a)
+	if a.Attempts > 0 && kind != pacing.Served {
+		p.before = why
+	}
 	next := t.pace.Ended(p.x, now, kind, a.RetryAfter)
 	switch next.What {
 	case pacing.Done:
@@ -332,6 +336,9 @@
 		} else {
 			t.failed++
 		}
+		if p.before != "" && p.before != why {
+			why += "; before: " + p.before
+		}
 		p.end(&GivenUp{Refused: kind == pacing.Refused, Why: why, Tries: p.x.Tries(), Back: next.Back})
 	}
 	t.pump()
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand"
+	"os"
+	"testing"
+	"time"
+
+	"eiderhold/internal/audit"
+	"eiderhold/internal/config"
+	"eiderhold/internal/standin"
+)
+
+// rig is a site with a gateway before it.
+type rig struct {
+	t    *testing.T
+	site *standin.Site
+	cfg  *config.Config
+	gw   *Gateway
+	dir  string
+}
+
+// start starts nodes and a gateway. change may be nil.
+func start(t *testing.T, nodes int, node standin.NodeOptions, change func(*config.Config)) *rig {
+	t.Helper()
+	return startTraced(t, nodes, node, change, nil)
+}
+
+func startTraced(t *testing.T, nodes int, node standin.NodeOptions, change func(*config.Config), trace *audit.Writer) *rig {
+	t.Helper()
+	site, err := standin.StartSite("", trace)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, site: site, cfg: config.Default(), dir: t.TempDir()}
+	for i := range nodes {
+		o := node
+		o.ID, o.Shard, o.Seed = fmt.Sprintf("node-%d", i), i, int64(i)
+		o.Cores, o.Queue, o.KeyWindow = max(4, o.Cores), max(256, o.Queue), 1200*time.Millisecond
+		if _, err := site.Add(o); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.cfg.Gateway.Dir, r.cfg.Gateway.Seed = r.dir, 1
+	r.cfg.Register.URL = site.Register.URL()
+	r.cfg.Rsync.Listen = "127.0.0.1:0"
+	if change != nil {
+		change(r.cfg)
+	}
+	r.boot()
+	t.Cleanup(func() {
+		if r.gw != nil {
+			r.stop()
+		}
+		site.Close()
+	})
+	return r
+}
+
+// boot starts the gateway and waits until it knows its nodes.
+func (r *rig) boot() {
+	r.t.Helper()
+	if err := r.cfg.Check(); err != nil {
+		r.t.Fatal(err)
+	}
+	log := slog.New(slog.DiscardHandler)
+	if os.Getenv("EIDERHOLD_TEST_LOG") != "" {
+		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	gw, err := Start(r.cfg, log, Options{})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.gw = gw
+	r.until("the node list", func() bool { return gw.Feed().State().Version > 0 })
+}
+
+func (r *rig) stop() {
+	r.t.Helper()
+	if err := r.gw.Close(); err != nil {
+		r.t.Error("close:", err)
+	}
+	if err := r.gw.Err(); err != nil {
+		r.t.Error("host loop:", err)
+	}
+	if d := r.gw.Host().Stats().Defects; d != 0 {
+		r.t.Errorf("%d answers were given as the last resort", d)
+	}
+	r.gw = nil
+}
+
+// until waits for a condition.
+func (r *rig) until(what string, ok func() bool) {
+	r.t.Helper()
+	for limit := time.Now().Add(30 * time.Second); !ok(); {
+		if time.Now().After(limit) {
+			r.t.Fatalf("not within 30 s: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// only has the gateway put new objects on one node, until the returned function is
+// called: all others are announced draining meanwhile.
+func (r *rig) only(id string, nodes int) (all func()) {
+	set := func(state string) {
+		for i := range nodes {
+			if other := fmt.Sprintf("node-%d", i); other != id {
+				r.site.State(other, state)
+			}
+		}
+		want := r.gw.Feed().State().Version
+		r.site.State(id, "ready")
+		r.until("news of the nodes", func() bool { return r.gw.Feed().State().Version >= want+uint64(nodes) })
+	}
+	set("draining")
+	return func() { set("ready") }
+}
+
+func (r *rig) client() *standin.Client { return &standin.Client{Addr: r.gw.Addr()} }
+
+func (r *rig) push(path string, files ...standin.ClientFile) *standin.Report {
+	r.t.Helper()
+	rep, err := r.client().Push(context.Background(), "records", path, files)
+	if err != nil || !rep.Goodbye || len(rep.Said) > 0 {
+		r.t.Fatalf("push to %q: %v, %q", path, err, rep.Said)
+	}
+	return rep
+}
+
+func (r *rig) pull(path string) *standin.Report {
+	r.t.Helper()
+	rep, err := r.client().Pull(context.Background(), "records", path, nil)
+	if err != nil || !rep.Goodbye || len(rep.Said) > 0 {
+		r.t.Fatalf("pull of %q: %v, %q", path, err, rep.Said)
+	}
+	return rep
+}
+
+// content is seeded bytes.
+func content(seed int64, n int) []byte {
+	p := make([]byte, n)
+	rand.New(rand.NewSource(seed)).Read(p)
+	return p
+}
+
+func file(path string, data []byte) standin.ClientFile {
+	return standin.ClientFile{Path: path, Data: data, MTime: 1_700_000_000}
+}
+
+// same compares pulled files with those that were pushed, by path.
+func same(t *testing.T, rep *standin.Report, want ...standin.ClientFile) {
+	t.Helper()
+	got := map[string][]byte{}
+	for _, f := range rep.Files {
+		if !f.Dir {
+			got[f.Path] = f.Data
+		}
+	}
+	for _, f := range want {
+		if f.Dir {
+			continue
+		}
+		if p, ok := got[f.Path]; !ok || !bytes.Equal(p, f.Data) {
+			t.Fatalf("%s: %d bytes came (there: %v), want %d", f.Path, len(p), ok, len(f.Data))
+		}
+		delete(got, f.Path)
+	}
+	if len(got) > 0 {
+		t.Fatalf("%d files more than were pushed", len(got))
+	}
+}
