--- a/cmd/eiderhold/dev.go
+++ b/cmd/eiderhold/dev.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"eiderhold/internal/config"
+	"eiderhold/internal/gateway"
 	"eiderhold/internal/standin"
 	"eiderhold/internal/telemetry"
 )
@@ -50,7 +51,7 @@
 			if err := cfg.Check(); err != nil {
 				return err
 			}
-			g, err := startGateway(cfg, log)
+			g, err := gateway.Start(cfg, log)
 			if err != nil {
 				return err
 			}
--- a/cmd/eiderhold/main.go
+++ b/cmd/eiderhold/main.go
@@ -34,7 +34,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(devCommand(), serveCommand(), configCommand(), versionCommand())
+	root.AddCommand(devCommand(), serveCommand(), configCommand(), versionCommand(),
+		rehearseCommand(), auditCommand(), replayCommand(), nodeCommand(), registerCommand())
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
--- a/cmd/eiderhold/serve.go
+++ b/cmd/eiderhold/serve.go
@@ -37,10 +37,11 @@
 				return err
 			}
 			log = log.With("gateway", cfg.Gateway.Name)
-			g, err := startGateway(cfg, log)
+			g, err := gateway.Start(cfg, log)
 			if err != nil {
 				return err
 			}
+			fmt.Fprintf(cmd.OutOrStdout(), "rsync://%s/\n", g.Addr())
 			log.Info("serving", "rsync", g.Addr(), "register", cfg.Register.URL, "dir", cfg.Gateway.Dir)
 			return attend(cmd.Context(), g, cfg, log, func() error {
 				next, err := config.Load(file)
@@ -59,11 +60,6 @@
 	return c
 }
 
-// startGateway starts a gateway with what its settings ask for.
-func startGateway(cfg *config.Config, log *slog.Logger) (*gateway.Gateway, error) {
-	return gateway.Start(cfg, log, gateway.Options{})
-}
-
 // attend waits for signals and ends the gateway as they say.
 func attend(ctx context.Context, g *gateway.Gateway, cfg *config.Config, log *slog.Logger, reload func() error) error {
 	signals := make(chan os.Signal, 4)
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -31,6 +31,7 @@
 	Final  What = "final"  // client: it ended
 	Start  What = "start"  // client or rehearsal: a gateway's process started
 	Kill   What = "kill"   // client or rehearsal: a gateway's process was killed or told to end
+	Stood  What = "stood"  // rehearsal: a gateway's process stood still, for the time that it took
 )
 
 // Record is one line. Times are nanoseconds of the machine's wall clock.
@@ -54,9 +55,10 @@
 	Result  string  `json:"result,omitempty"` // end: done, error, busy, ...; final: served, refused, failed
 	State   string  `json:"state,omitempty"`  // told: ready, draining, gone
 	Started int64   `json:"started,omitempty"`
-	Took    int64   `json:"took,omitempty"` // ns
-	ID      string  `json:"id,omitempty"`   // of a client's transfer or file
-	Limit   int64   `json:"limit,omitempty"`
+	Took    int64   `json:"took,omitempty"`  // ns
+	ID      string  `json:"id,omitempty"`    // of a client's transfer or file
+	Limit   int64   `json:"limit,omitempty"` // ns that the client waits
+	Aim     int64   `json:"aim,omitempty"`   // ns within which it earns the full worth
 	Text    string  `json:"text,omitempty"`
 }
 
--- a/internal/front/rsync/conn.go
+++ b/internal/front/rsync/conn.go
@@ -43,7 +43,6 @@
 	aside bool   // the socket is being set aside, or is
 	fd    int    // of a socket set aside; -1: none
 	carry []byte // what had been read from it
-	eof   bool
 	dead  bool
 	why   error
 
@@ -218,13 +217,9 @@
 func (c *conn) feed() bool {
 	room := proto.InputHigh - c.session.Held()
 	if c.aside {
-		if c.eof && len(c.carry) == 0 {
-			return false
-		}
 		n := min(room, len(c.carry))
 		if n <= 0 {
-			c.session.Resume()
-			return false
+			return c.resumeSession()
 		}
 		p := c.carry[:n]
 		c.carry = c.carry[n:]
@@ -233,8 +228,7 @@
 	}
 	n := min(room, c.g.InboundBuffered())
 	if n <= 0 {
-		c.session.Resume()
-		return false
+		return c.resumeSession()
 	}
 	p, err := c.g.Next(n)
 	if err != nil {
@@ -245,6 +239,14 @@
 	return true
 }
 
+// resumeSession lets the session go on with what it holds, and says whether it took
+// any of it, so that there is room for more.
+func (c *conn) resumeSession() bool {
+	before := c.session.Held()
+	c.session.Resume()
+	return c.session.Held() < before
+}
+
 // output writes what is for the client, unless its socket is full.
 func (c *conn) output() bool {
 	out := c.session.Out()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"eiderhold/internal/config"
 	front "eiderhold/internal/front/rsync"
 	"eiderhold/internal/host"
+	"eiderhold/internal/record"
 	"eiderhold/internal/register"
 	proto "eiderhold/internal/rsync"
 	"eiderhold/internal/store"
@@ -28,7 +29,7 @@
 type Gateway struct {
 	cfg  *config.Config
 	log  *slog.Logger
-	rec  recorder
+	rec  *record.Writer // nil: off
 	back *backend.Backend
 	host *host.Host
 	feed *register.Feed
@@ -44,19 +45,8 @@
 	err    error // of the host loop, once ended is closed
 }
 
-// recorder is what the host writes batches to.
-type recorder interface {
-	host.Recorder
-	Close() error
-}
-
-// Options are what a gateway may be given beside its settings.
-type Options struct {
-	Recorder recorder // nil: none
-}
-
 // Start starts a gateway; it serves when Start returns.
-func Start(cfg *config.Config, log *slog.Logger, opt Options) (g *Gateway, err error) {
+func Start(cfg *config.Config, log *slog.Logger) (g *Gateway, err error) {
 	set, err := cfg.Settings()
 	if err != nil {
 		return nil, err
@@ -65,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g = &Gateway{cfg: cfg, log: log, rec: opt.Recorder, shards: map[int]bool{}, ended: make(chan struct{})}
+	g = &Gateway{cfg: cfg, log: log, shards: map[int]bool{}, ended: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	defer func() {
@@ -94,8 +84,13 @@
 		seed = rand.Int63()
 	}
 	ho := host.Options{Settings: set, Seed: seed, Backend: g.back, Log: log, MostOpen: cfg.Gateway.Open}
-	if opt.Recorder != nil {
-		ho.Recorder = opt.Recorder
+	if rc := &cfg.Recorder; rc.On {
+		if g.rec, err = record.NewWriter(record.Options{Dir: filepath.Join(cfg.Gateway.Dir, "record"),
+			FileBytes: rc.FileSize, Files: rc.Files}, set, seed); err != nil {
+			close(g.ended)
+			return nil, err
+		}
+		ho.Recorder = g.rec
 	}
 	if g.host, err = host.New(ho); err != nil {
 		close(g.ended)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -71,7 +71,7 @@
 	if os.Getenv("EIDERHOLD_TEST_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
-	gw, err := Start(r.cfg, log, Options{})
+	gw, err := Start(r.cfg, log)
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/rehearsal/run.go
@@ -0,0 +1,468 @@
+package rehearsal
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"eiderhold/internal/audit"
+	"eiderhold/internal/config"
+	"eiderhold/internal/standin"
+)
+
+// Options of a run.
+type Options struct {
+	Dir     string   // records, gateways' folders and logs; must be empty or not there
+	Command []string // how a gateway is started; "--config FILE" is appended
+	Env     []string // further environment of gateways
+	Log     *slog.Logger
+	Seed    int64 // 0: the day's
+}
+
+// Result is how a day went.
+type Result struct {
+	Report  *audit.Report
+	Dropped int // arrivals beyond a load's ceiling
+	Exits   []string
+	Lasted  time.Duration
+}
+
+// run is a day under way.
+type run struct {
+	day   *Day
+	opt   Options
+	log   *slog.Logger
+	site  *standin.Site
+	trace *audit.Writer
+	ctx   context.Context
+
+	gws   []*process
+	mu    sync.Mutex
+	rng   *rand.Rand
+	rate  map[string]float64 // times a load's rate
+	leave map[string]float64 // part of a load's clients that leave early
+	next  int                // number of the next node
+
+	dropped atomic.Int64
+	number  atomic.Int64
+	wg      sync.WaitGroup
+}
+
+// process is a gateway's.
+type process struct {
+	name string
+	cfg  *config.Config
+	file string
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	addr  string
+	ended chan struct{}
+	exit  string
+	down  bool
+}
+
+// Run plays a day and audits it.
+func Run(ctx context.Context, day *Day, opt Options) (*Result, error) {
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.DiscardHandler)
+	}
+	if opt.Seed == 0 {
+		opt.Seed = day.Seed
+	}
+	if entries, err := os.ReadDir(opt.Dir); err == nil && len(entries) > 0 {
+		return nil, fmt.Errorf("rehearsal: folder %s is not empty: name another one", opt.Dir)
+	}
+	records := filepath.Join(opt.Dir, "records")
+	trace, err := audit.Create(records, "sockets")
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &run{day: day, opt: opt, log: opt.Log, trace: trace, ctx: ctx, rng: rand.New(rand.NewSource(opt.Seed)),
+		rate: map[string]float64{}, leave: map[string]float64{}}
+	began := time.Now()
+	if err = r.start(); err == nil {
+		err = r.play()
+	}
+	exits, stopErr := r.stop()
+	if cerr := trace.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil {
+		err = stopErr
+	}
+	if err != nil {
+		return nil, err
+	}
+	rules := r.rules()
+	if err := rules.Save(records); err != nil {
+		return nil, err
+	}
+	recs, err := audit.ReadDir(records)
+	if err != nil {
+		return nil, err
+	}
+	return &Result{Report: audit.Check(recs, rules), Dropped: int(r.dropped.Load()), Exits: exits,
+		Lasted: time.Since(began)}, nil
+}
+
+// rules are what the auditor holds the day against.
+func (r *run) rules() *audit.Rules {
+	cfg := r.gws[0].cfg
+	s := &cfg.Safety
+	rules := &audit.Rules{Volumes: map[string]string{}, MeanUnits: cfg.Worth.MeanUnits, DrainGrace: s.DrainGrace.D(),
+		FallSpan: s.FallSpan.D(), ExtraFree: s.ExtraFree, ExtraShare: s.ExtraShare, ExtraSpan: s.ExtraSpan.D(),
+		OrderRest: s.OrderRest.D(), AnswerSlack: 50 * time.Millisecond, Travel: 150 * time.Millisecond}
+	for _, c := range cfg.Classes {
+		rules.Classes = append(rules.Classes, audit.Class{Name: c.Name, Effect: c.Effect, Group: c.Group, Window: c.Window.D(),
+			Aim: c.Aim.D(), Worth: c.Worth, LateWorth: c.LateWorth, InOrder: c.InOrder})
+	}
+	for _, p := range cfg.Plans {
+		rules.Plans = append(rules.Plans, audit.Plan{Name: p.Name, Price: p.Price, LimitRate: p.LimitRate,
+			LimitBurst: p.LimitBurst, LimitSlack: p.LimitSlack})
+	}
+	for _, m := range cfg.Modules {
+		rules.Volumes[m.Name] = m.Plan
+	}
+	return rules
+}
+
+// start brings up the site and the gateways, and prepares files.
+func (r *run) start() (err error) {
+	if r.site, err = standin.StartSite("", r.trace); err != nil {
+		return err
+	}
+	s := &r.day.Site
+	for range s.Nodes {
+		if _, err := r.site.Add(r.nodeOptions(time.Time{})); err != nil {
+			return err
+		}
+	}
+	for i := range r.day.Gateways.Count {
+		p, err := r.prepare(fmt.Sprintf("gateway-%d", i+1))
+		if err != nil {
+			return err
+		}
+		r.gws = append(r.gws, p)
+		if err := r.boot(p); err != nil {
+			return err
+		}
+	}
+	return r.files()
+}
+
+// nodeOptions describes the next node; a number names its shard too.
+func (r *run) nodeOptions(started time.Time) standin.NodeOptions {
+	s := &r.day.Site
+	n := r.next
+	r.next++
+	return standin.NodeOptions{ID: fmt.Sprintf("node-%d", n), Shard: n, Cores: s.Cores, UnitTime: s.UnitTime.D(), Queue: s.Queue,
+		Started: started, ColdFor: s.ColdFor.D(), ColdCapacity: s.ColdCapacity, FallMultiple: s.FallMultiple,
+		FallSpan: s.FallSpan.D(), ColdBears: s.ColdBears, DownFor: s.DownFor.D(), RecentItems: s.RecentItems,
+		RecentPart: s.RecentPart, PutOff: s.PutOff, KeyWindow: 1200 * time.Millisecond, Seed: r.opt.Seed + int64(n)}
+}
+
+// prepare writes a gateway's settings.
+func (r *run) prepare(name string) (*process, error) {
+	dir, err := filepath.Abs(filepath.Join(r.opt.Dir, name))
+	if err != nil {
+		return nil, err
+	}
+	p := &process{name: name, file: filepath.Join(dir, "gateway.toml")}
+	if p.cfg, err = r.day.config(name, r.site.Register.URL(), dir); err != nil {
+		return nil, err
+	}
+	p.cfg.Gateway.Seed = r.opt.Seed*100 + int64(len(r.gws)) + 1
+	text, err := p.cfg.Text()
+	if err == nil {
+		err = os.MkdirAll(dir, 0o755)
+	}
+	if err == nil {
+		err = os.WriteFile(p.file, text, 0o644)
+	}
+	return p, err
+}
+
+// boot starts a gateway's process and waits until it serves.
+func (r *run) boot(p *process) error {
+	args := append(append([]string{}, r.opt.Command[1:]...), "--config", p.file)
+	cmd := exec.Command(r.opt.Command[0], args...)
+	cmd.Env = append(os.Environ(), r.opt.Env...)
+	logFile, err := os.OpenFile(filepath.Join(filepath.Dir(p.file), "log.json"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer logFile.Close()
+	cmd.Stderr = logFile
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	r.trace.Put(audit.Record{What: audit.Start, Gateway: p.name})
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("rehearsal: %s: %w", p.name, err)
+	}
+	ended := make(chan struct{})
+	line := make(chan string, 1)
+	go func() {
+		rd := bufio.NewReader(out)
+		first, _ := rd.ReadString('\n')
+		line <- first
+		_, _ = io.Copy(io.Discard, rd)
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.exit = "0"
+		if err != nil {
+			p.exit = err.Error()
+		}
+		p.mu.Unlock()
+		close(ended)
+	}()
+	select {
+	case first := <-line:
+		addr := strings.TrimSuffix(strings.TrimPrefix(strings.TrimSpace(first), "rsync://"), "/")
+		if addr == "" {
+			<-ended
+			return fmt.Errorf("rehearsal: %s does not start: see %s", p.name, logFile.Name())
+		}
+		p.mu.Lock()
+		p.cmd, p.addr, p.ended, p.down = cmd, addr, ended, false
+		p.mu.Unlock()
+		return nil
+	case <-time.After(20 * time.Second):
+		_ = cmd.Process.Kill()
+		return fmt.Errorf("rehearsal: %s does not start within 20s: see %s", p.name, logFile.Name())
+	}
+}
+
+// signal sends a signal to a gateway's process.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s)
+}
+
+func (p *process) address() (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addr, !p.down
+}
+
+// files pushes what the pulls of the day will fetch, through each gateway.
+func (r *run) files() error {
+	for _, p := range r.gws {
+		for li, l := range r.day.Loads {
+			if l.Kind != "pull" {
+				continue
+			}
+			files := []standin.ClientFile{{Path: ".", Dir: true, MTime: 1}, {Path: l.Name, Dir: true, MTime: 1}}
+			for i := range l.Files {
+				files = append(files, standin.ClientFile{Path: fmt.Sprintf("%s/%d", l.Name, i), MTime: 1,
+					Data: content(r.opt.Seed+int64(li*100000+i), l.Bytes)})
+			}
+			for try := 0; ; try++ {
+				c := &standin.Client{Addr: p.addr, Timeout: 30 * time.Second}
+				rep, err := c.Push(r.ctx, l.Module, "", files)
+				if err == nil && len(rep.Said) == 0 {
+					break
+				}
+				if try == 20 || r.ctx.Err() != nil {
+					return fmt.Errorf("rehearsal: preparing files at %s: %v %q", p.name, err, rep.Said)
+				}
+				time.Sleep(200 * time.Millisecond) // the gateway may not know its nodes yet
+			}
+		}
+	}
+	return nil
+}
+
+func content(seed int64, n int) []byte {
+	p := make([]byte, n)
+	rand.New(rand.NewSource(seed)).Read(p)
+	return p
+}
+
+// play runs loads and troubles for as long as the day lasts.
+func (r *run) play() error {
+	began := time.Now()
+	day, cancel := context.WithTimeout(r.ctx, r.day.Lasts.D())
+	defer cancel()
+	var troubles sync.WaitGroup
+	for _, t := range r.day.ordered() {
+		troubles.Add(1)
+		go func() {
+			defer troubles.Done()
+			if r.sleep(day, time.Until(began.Add(t.At.D()))) {
+				r.log.Info("trouble", "kind", t.Kind, "target", t.Target, "for", t.For.D())
+				r.trouble(day, t)
+			}
+		}()
+	}
+	for i, l := range r.day.Loads {
+		r.wg.Add(1)
+		go func() { defer r.wg.Done(); r.load(day, l, rand.New(rand.NewSource(r.opt.Seed+int64(1000+i)))) }()
+	}
+	<-day.Done()
+	troubles.Wait()
+	r.wg.Wait() // clients end by themselves, within their time-outs
+	if err := r.ctx.Err(); err != nil {
+		return fmt.Errorf("rehearsal: %w", err)
+	}
+	return nil
+}
+
+func (r *run) sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// load starts transfers with exponential gaps.
+func (r *run) load(ctx context.Context, l Load, rng *rand.Rand) {
+	slots := make(chan struct{}, l.AtOnce)
+	for {
+		r.mu.Lock()
+		times := r.rate[l.Name]
+		if times == 0 {
+			times = max(1, r.rate[""])
+		}
+		leave := max(r.leave[l.Name], r.leave[""])
+		r.mu.Unlock()
+		gap := time.Duration(-math.Log(1-rng.Float64()) / (l.Rate * times) * float64(time.Second))
+		if !r.sleep(ctx, gap) {
+			return
+		}
+		p := r.gws[rng.Intn(len(r.gws))]
+		which, early := rng.Intn(max(1, l.Files)), rng.Float64() < leave
+		n := r.number.Add(1)
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.dropped.Add(1)
+			continue
+		}
+		r.wg.Add(1)
+		go func() {
+			defer r.wg.Done()
+			defer func() { <-slots }()
+			r.transfer(p, l, fmt.Sprintf("%s-%d", l.Name, n), which, early)
+		}()
+	}
+}
+
+// transfer is one client's, written down.
+func (r *run) transfer(p *process, l Load, id string, which int, early bool) {
+	addr, up := p.address()
+	if !up {
+		return // its client finds nobody to talk to: nothing is owed
+	}
+	cfg := p.cfg
+	work := cfg.Work()
+	class := work.WriteClass
+	if l.Kind == "pull" {
+		class = work.Read(int64(l.Bytes))
+	}
+	extents := (l.Bytes + cfg.Rsync.Extent - 1) / cfg.Rsync.Extent
+	aim := time.Duration(0)
+	for _, c := range cfg.Classes {
+		if c.Name == class {
+			aim = c.Aim.D() * time.Duration((extents+3)/4) // a few extents are fetched at a time
+		}
+	}
+	plan := ""
+	for _, m := range cfg.Modules {
+		if m.Name == l.Module {
+			plan = m.Plan
+		}
+	}
+	units := float64(extents) * work.Units(min(l.Bytes, cfg.Rsync.Extent))
+	c := &standin.Client{Addr: addr, Timeout: l.Timeout.D()}
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	if early {
+		time.AfterFunc(aim/2, cancel)
+	}
+	r.trace.Put(audit.Record{What: audit.Ask, ID: id, Gateway: p.name, Class: class, Plan: plan, Volume: l.Module, Units: units,
+		Limit: int64(l.Timeout.D()), Aim: int64(aim)})
+	began := time.Now()
+	var rep *standin.Report
+	var err error
+	if l.Kind == "pull" {
+		rep, err = c.Pull(ctx, l.Module, fmt.Sprintf("%s/%d", l.Name, which), nil)
+	} else {
+		rep, err = c.Push(ctx, l.Module, id, []standin.ClientFile{{Path: id, MTime: 1, Data: content(r.opt.Seed, l.Bytes)}})
+	}
+	end := audit.Record{What: audit.Final, ID: id, Gateway: p.name, Took: int64(time.Since(began)), Text: strings.Join(rep.Said, "; ")}
+	switch {
+	case early && ctx.Err() != nil:
+		end.Result = "left"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		end.Result, end.Text = "silent", err.Error()
+	case err != nil && errors.As(err, new(*standin.DaemonError)):
+		end.Result, end.Text = "refused", err.Error()
+	case err != nil:
+		end.Result, end.Text = "failed", err.Error()
+	case strings.Contains(end.Text, "refused"):
+		end.Result = "refused"
+	case len(rep.Said) > 0:
+		end.Result = "failed"
+	default:
+		end.Result = "served"
+	}
+	r.trace.Put(end)
+}
+
+// stop ends gateways and site. Exits are what the gateways' processes ended with.
+func (r *run) stop() (exits []string, err error) {
+	for _, p := range r.gws {
+		if p.cmd == nil {
+			continue
+		}
+		if _, up := p.address(); up {
+			r.trace.Put(audit.Record{What: audit.Kill, Gateway: p.name})
+			p.signal(syscall.SIGCONT)
+			p.signal(syscall.SIGTERM)
+		}
+	}
+	for _, p := range r.gws {
+		if p.cmd == nil {
+			continue
+		}
+		select {
+		case <-p.ended:
+		case <-time.After(30 * time.Second):
+			p.signal(syscall.SIGKILL)
+			<-p.ended
+			err = errors.Join(err, fmt.Errorf("rehearsal: %s did not end within 30s of SIGTERM", p.name))
+		}
+		exits = append(exits, p.exit)
+		if p.exit != "0" {
+			err = errors.Join(err, fmt.Errorf("rehearsal: %s ended with %s: see its log.json", p.name, p.exit))
+		}
+	}
+	if r.site != nil {
+		r.site.Close()
+	}
+	return exits, err
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -224,8 +224,7 @@
 		if err != nil {
 			return
 		}
-		n.standStill()
-		switch f := f.(type) {
+		switch f := f.(type) { // also while the node stands still: what has arrived has arrived
 		case *nodewire.Hello:
 			p.gateway = f.Name
 		case *nodewire.Request:
@@ -304,13 +303,13 @@
 	if n.draining || n.waiting >= n.opt.Queue {
 		n.counts.Busy++
 		n.mu.Unlock()
-		n.answer(j, &nodewire.Answer{Result: nodewire.Busy, Text: "queue full or draining"})
+		n.atOnce(j, &nodewire.Answer{Result: nodewire.Busy, Text: "queue full or draining"})
 		return
 	}
 	if n.trouble.ErrorPart > 0 && n.rng.Float64() < n.trouble.ErrorPart {
 		n.counts.Errors++
 		n.mu.Unlock()
-		n.answer(j, &nodewire.Answer{Result: nodewire.Error, Text: "internal error"})
+		n.atOnce(j, &nodewire.Answer{Result: nodewire.Error, Text: "internal error"})
 		return
 	}
 	defer n.mu.Unlock()
@@ -322,6 +321,26 @@
 	n.queue <- j // has room: waiting is less than the queue
 }
 
+// atOnce answers without work, though not while the node stands still or hangs.
+func (n *Node) atOnce(j *job, a *nodewire.Answer) {
+	n.mu.Lock()
+	hang, still := n.trouble.Hang, time.Now().Before(n.trouble.PauseUntil)
+	n.mu.Unlock()
+	if hang {
+		return
+	}
+	if !still {
+		n.answer(j, a)
+		return
+	}
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		n.standStill()
+		n.answer(j, a)
+	}()
+}
+
 // fallsOver books an arrival at a cold node and says whether it is one too many.
 func (n *Node) fallsOver(j *job) bool {
 	o := &n.opt
--- a/internal/standin/register.go
+++ b/internal/standin/register.go
@@ -139,13 +139,31 @@
 	fmt.Sscan(req.Header.Get("Last-Event-ID"), &seen)
 	beat := time.NewTicker(time.Second)
 	defer beat.Stop()
+	told := map[string]register.Entry{} // what this gateway has been told, for the record
 	for {
 		for {
 			event, doc, more := r.next(&seen)
 			if event == "" {
 				break
 			}
-			for _, e := range doc.Nodes {
+			news := doc.Nodes
+			if event == "full" { // what it does not name is gone
+				left := map[string]bool{}
+				for _, e := range doc.Nodes {
+					left[e.ID] = true
+				}
+				for id, e := range told {
+					if !left[id] {
+						e.State = "gone"
+						news = append(news, e)
+					}
+				}
+			}
+			for _, e := range news {
+				told[e.ID] = e
+				if e.State == "gone" {
+					delete(told, e.ID)
+				}
 				r.trace.Put(audit.Record{What: audit.Told, Gateway: s.gateway, Node: e.ID, Shard: e.Shard,
 					Zone: e.Zone, State: e.State, Started: e.StartedMS * 1e6, Text: event})
 			}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,6 +85,13 @@
 	return s.nodes[id]
 }
 
+// IDs are the nodes that are running, in order of their names.
+func (s *Site) IDs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.nodes))
+}
+
 // State announces a node's state. A draining one still serves until it is told to
 // Drain.
 func (s *Site) State(id, state string) {
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -159,6 +159,12 @@
 	Back time.Duration // Leave: when it is worth to come back, from now; 0: unknown
 }
 
+// firstPause is the part of the patience that passes at least before the second try;
+// each further pause is twice as long. Guards against hints so short that all tries are
+// used up while the trouble has not moved. Harm: a refusal that only meant a few
+// milliseconds costs more of them.
+const firstPause = 16
+
 // Ended books the end of a try. retryAfter is what a refusal asked for.
 func (t *Transfer) Ended(x *Extent, now time.Duration, kind Kind, retryAfter time.Duration) Next {
 	t.out--
@@ -173,9 +179,9 @@
 		t.window = max(1, t.window/2)
 		t.halvedAt = now
 	}
-	at := now
+	at := now + t.patience/firstPause<<(x.tries-1)
 	if kind == Refused {
-		at += max(retryAfter, 0)
+		at = max(at, now+retryAfter)
 	}
 	tries := t.set.Tries
 	if until, bad := t.shards[x.Shard]; bad && now < until {
--- /dev/null
+++ b/pacing/pacing_test.go
@@ -0,0 +1,195 @@
+package pacing
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	ms = time.Millisecond
+	s  = time.Second
+)
+
+func TestARefusalIsWaitedForAndMarked(t *testing.T) {
+	tr := New(Default, 10*s, 0) // 6 s for an extent
+	x := tr.Begin(0, 3, 1000, s)
+	try, ok := tr.Ask(x, 0)
+	if !ok || try.Retry || try.Expires != s {
+		t.Fatalf("first try: %+v %v", try, ok)
+	}
+	next := tr.Ended(x, 100*ms, Refused, 2*s)
+	if next.What != Again || next.At != 2100*ms {
+		t.Fatalf("after a refusal: %+v", next)
+	}
+	if try, ok = tr.Ask(x, next.At); !ok || !try.Retry {
+		t.Fatalf("second try: %+v %v", try, ok)
+	}
+	if next = tr.Ended(x, 2200*ms, Refused, 5*s); next.What != Leave || next.Back != 5*s {
+		t.Fatalf("a hint beyond the client's time: %+v", next)
+	}
+}
+
+func TestShortHintsDoNotUseUpTheTries(t *testing.T) {
+	tr := New(Default, 0, 0) // 8 s
+	x := tr.Begin(0, 0, 1, s)
+	at, waits := time.Duration(0), []time.Duration(nil)
+	for {
+		if _, ok := tr.Ask(x, at); !ok {
+			t.Fatal("asked when it could not")
+		}
+		next := tr.Ended(x, at, Refused, ms)
+		if next.What == Leave {
+			break
+		}
+		waits = append(waits, next.At-at)
+		at = next.At
+	}
+	want := []time.Duration{500 * ms, s, 2 * s}
+	if len(waits) != 3 || waits[0] != want[0] || waits[1] != want[1] || waits[2] != want[2] || x.Tries() != 4 {
+		t.Errorf("waits %v, tries %d", waits, x.Tries())
+	}
+}
+
+func TestAShardThatFailedGetsOneTry(t *testing.T) {
+	tr := New(Default, 0, 0)
+	giveUp := func(shard int, at time.Duration) int {
+		x := tr.Begin(at, shard, 1, s)
+		for {
+			tr.Ask(x, at)
+			if next := tr.Ended(x, at, Failed, 0); next.What == Leave {
+				return x.Tries()
+			} else {
+				at = next.At
+			}
+		}
+	}
+	if n := giveUp(1, 0); n != 4 {
+		t.Errorf("first extent: %d tries", n)
+	}
+	if n := giveUp(1, 4*s); n != 1 {
+		t.Errorf("second of the shard: %d tries", n)
+	}
+	if n := giveUp(2, 4*s); n != 4 {
+		t.Errorf("another shard: %d tries", n)
+	}
+	x := tr.Begin(4*s, 1, 1, s)
+	tr.Ask(x, 4*s)
+	tr.Ended(x, 4*s, Served, 0)
+	if n := giveUp(1, 5*s); n != 4 {
+		t.Errorf("after one was served: %d tries", n)
+	}
+}
+
+func TestWindowGrowsAndHalvesOnce(t *testing.T) {
+	tr := New(Default, 0, 0)
+	xs := []*Extent{}
+	for now := time.Duration(0); tr.Window() < 8 && now < s; now += ms {
+		for ok, _ := tr.Room(now); ok; ok, _ = tr.Room(now) {
+			x := tr.Begin(now, 0, 1, s)
+			tr.Ask(x, now)
+			xs = append(xs, x)
+		}
+		tr.Ended(xs[0], now, Served, 0)
+		xs = xs[1:]
+	}
+	if tr.Window() != 8 {
+		t.Fatalf("window %d", tr.Window())
+	}
+	for _, x := range xs {
+		tr.Ended(x, s, Failed, 0)
+	}
+	if tr.Window() != 4 {
+		t.Errorf("window %d after %d failures at once", tr.Window(), len(xs))
+	}
+}
+
+func TestRateIsKept(t *testing.T) {
+	tr := New(Default, 0, 1000)
+	sum, now := 0, time.Duration(0)
+	for now < 10*s {
+		ok, at := tr.Room(now)
+		if !ok {
+			now = at
+			continue
+		}
+		x := tr.Begin(now, 0, 250, s)
+		tr.Ask(x, now)
+		tr.Ended(x, now, Served, 0)
+		sum += 250
+	}
+	if sum < 9500 || sum > 10500 {
+		t.Errorf("%d bytes in 10 s at 1000 a second", sum)
+	}
+}
+
+func TestTransferEndsAfterFilesLeftOutInARow(t *testing.T) {
+	tr := New(Default, 0, 0)
+	for i := range Default.LeaveOut - 1 {
+		if tr.File(false) {
+			t.Fatalf("ends after %d", i+1)
+		}
+	}
+	tr.File(true)
+	for range Default.LeaveOut - 1 {
+		if tr.File(false) {
+			t.Fatal("a served file was forgotten")
+		}
+	}
+	if !tr.File(false) {
+		t.Error("does not end")
+	}
+}
+
+// TestNeverPastTheClientsTime: whatever happens, an extent has at most four tries,
+// none that outlives its part of the client's time, and the number out stays right.
+func TestNeverPastTheClientsTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		timeout := time.Duration(rapid.IntRange(0, 60).Draw(t, "timeout")) * s
+		tr := New(Default, timeout, 0)
+		limit := Default.Patience
+		if timeout > 0 {
+			limit = min(limit, time.Duration(Default.TimeoutPart*float64(timeout)))
+		}
+		now := time.Duration(rapid.Int64Range(0, int64(s)).Draw(t, "begin"))
+		begin := now
+		x := tr.Begin(now, 0, 1, time.Duration(rapid.IntRange(20, 5000).Draw(t, "deadline"))*ms)
+		tries := 0
+		for {
+			try, ok := tr.Ask(x, now)
+			if !ok {
+				break
+			}
+			tries++
+			if now+try.Expires > begin+limit || try.Expires < Default.Least || try.Retry != (tries > 1) || tries > 4 {
+				t.Fatalf("try %d at %v of %v: %+v", tries, now-begin, limit, try)
+			}
+			now += time.Duration(rapid.Int64Range(0, int64(try.Expires)).Draw(t, "took"))
+			hint := time.Duration(rapid.Int64Range(0, int64(3*s)).Draw(t, "hint"))
+			kind := Kind(rapid.IntRange(0, 2).Draw(t, "kind"))
+			next := tr.Ended(x, now, kind, hint)
+			if next.What != Again {
+				break
+			}
+			if kind == Refused && next.At < now+hint {
+				t.Fatalf("asks again %v after a refusal that said %v", next.At-now, hint)
+			}
+			now = next.At
+		}
+		if tr.out != 0 || tr.Window() < 1 || tr.Window() > Default.WindowTop {
+			t.Fatalf("out %d, window %d", tr.out, tr.Window())
+		}
+	})
+}
+
+func TestBudgetKeepsAPartForFirstExtents(t *testing.T) {
+	b := Budget{Limit: 100, Reserve: 0.25}
+	if !b.Take(75, 50) || b.Take(1, 50) || !b.Take(25, 0) || b.Take(1, 0) {
+		t.Errorf("used %d", b.Used())
+	}
+	b.Give(100)
+	if b.Used() != 0 || !b.Take(1, 1) {
+		t.Errorf("used %d", b.Used())
+	}
+}
