--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -179,7 +179,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := b.nodes[t.Node]
-	if n == nil || b.ended {
+	if n == nil || !n.listed || b.ended {
 		b.report(t, control.NotSent, "the node is not listed")
 		return
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -155,7 +155,7 @@
 // Host runs one controller.
 type Host struct {
 	opt   Options
-	ctl   *control.Controller
+	ctl   decider
 	clock func() time.Duration
 
 	mu      sync.Mutex // guards the mailbox
@@ -183,6 +183,11 @@
 	shutdown error
 }
 
+// decider is the controller; tests put one that fails in its place.
+type decider interface {
+	Step(now time.Duration, events []control.Event) []control.Action
+}
+
 // request is one that is open.
 type request struct {
 	*Request
--- /dev/null
+++ b/internal/host/host_test.go
@@ -0,0 +1,369 @@
+package host
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhold/control"
+	"eiderhold/internal/buffer"
+	"eiderhold/internal/nodewire"
+)
+
+const ms = time.Millisecond
+
+// fake is a backend that notes what it is told.
+type fake struct {
+	sent    []Attempt
+	dropped []uint64
+	probed  []string
+	nodes   int
+}
+
+func (f *fake) Send(a Attempt)     { f.sent = append(f.sent, a) }
+func (f *fake) Drop(ref uint64)    { f.dropped = append(f.dropped, ref) }
+func (f *fake) Probe(node string)  { f.probed = append(f.probed, node) }
+func (f *fake) Nodes(nodes []Node) { f.nodes = len(nodes) }
+
+// script is a decider that answers as it is told.
+type script struct {
+	events []control.Event
+	next   func([]control.Event) []control.Action
+}
+
+func (s *script) Step(_ time.Duration, events []control.Event) []control.Action {
+	s.events = append([]control.Event(nil), events...)
+	if s.next == nil {
+		return nil
+	}
+	return s.next(events)
+}
+
+// bench is a host whose turns and clock a test drives.
+type bench struct {
+	*Host
+	t    *testing.T
+	back *fake
+	at   time.Duration
+}
+
+func newBench(t *testing.T, d decider) *bench {
+	b := &bench{t: t, back: &fake{}, at: time.Hour}
+	h, err := New(Options{Backend: b.back, MostOpen: 3, Clock: func() time.Duration { return b.at },
+		Settings: control.Settings{Hosts: 1, MaxAttempts: 4, SecondCopies: true, LoadFields: []string{"queue", "latency_ms"},
+			Classes: []control.Class{{Name: "read", Aim: 100 * ms, Deadline: time.Second, Worth: 1}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d != nil {
+		h.ctl = d
+	}
+	b.Host = h
+	h.List(List{Kind: control.ListFull, Nodes: []Node{{Node: control.Node{ID: "n"}, Addr: "a"}, {Node: control.Node{ID: "m", Shard: 1}, Addr: "b"}}})
+	b.step(0)
+	return b
+}
+
+// step moves the clock on and takes two turns: what an action brings about comes in
+// the second.
+func (b *bench) step(d time.Duration) {
+	b.at += d
+	b.turn()
+	b.turn()
+}
+
+// ask submits a request and returns where its answers go.
+func (b *bench) ask(expires time.Duration) (*[]Answer, uint64) {
+	b.t.Helper()
+	var got []Answer
+	id, err := b.Submit(&Request{Class: "read", Volume: "v", Item: "i", Units: 1, Expires: expires, Op: nodewire.Read,
+		Answer: func(a Answer) { got = append(got, a) }})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return &got, id
+}
+
+func TestServed(t *testing.T) {
+	b := newBench(t, nil)
+	got, _ := b.ask(time.Second)
+	b.step(5 * ms)
+	if len(b.back.sent) != 1 || b.back.nodes != 2 || b.back.sent[0].Left > 980*ms {
+		t.Fatalf("sent %+v", b.back.sent)
+	}
+	data := buffer.Get(3)
+	b.Ended(Outcome{Ref: b.back.sent[0].Ref, Result: control.Done, Shard: 7, Data: data})
+	b.step(20 * ms)
+	if len(*got) != 1 || (*got)[0].Kind != Served || (*got)[0].Data != data || (*got)[0].Shard != 7 || (*got)[0].Elapsed != 25*ms {
+		t.Fatalf("answers %+v", *got)
+	}
+	b.Ended(Outcome{Ref: b.back.sent[0].Ref, Result: control.Done})
+	b.step(time.Second)
+	if len(*got) != 1 || b.stats.Late != 1 || len(b.reqs)+len(b.out)+b.wheel.Len() > 1 || b.stats.Defects != 0 {
+		t.Errorf("%d answers, %+v, %d timers", len(*got), b.stats, b.wheel.Len())
+	}
+}
+
+// TestNoAnswerFromTheNode: the attempt times out before the client's time is up, and
+// the client has its answer within it.
+func TestNoAnswerFromTheNode(t *testing.T) {
+	b := newBench(t, nil)
+	got, _ := b.ask(500 * ms)
+	b.step(0)
+	for range 500 {
+		b.step(ms)
+		if len(*got) > 0 {
+			break
+		}
+	}
+	if len(*got) != 1 || (*got)[0].Kind == Served || (*got)[0].Elapsed > 500*ms || len(b.back.dropped) == 0 {
+		t.Fatalf("%+v, dropped %v", *got, b.back.dropped)
+	}
+	if !strings.Contains((*got)[0].Cause, "gave no answer") {
+		t.Errorf("cause %q", (*got)[0].Cause)
+	}
+	if b.stats.Defects != 0 {
+		t.Error("the last resort was needed")
+	}
+}
+
+// TestLastResort: a controller that never decides does not keep a client waiting.
+func TestLastResort(t *testing.T) {
+	d := &script{}
+	b := newBench(t, d)
+	got, _ := b.ask(300 * ms)
+	b.step(0)
+	b.step(299 * ms)
+	if len(*got) != 0 {
+		t.Fatalf("answered early: %+v", *got)
+	}
+	b.step(ms)
+	if len(*got) != 1 || (*got)[0].Kind != Failed || b.stats.Defects != 1 {
+		t.Fatalf("%+v, %+v", *got, b.stats)
+	}
+	if _, gone := d.events[0].(control.ClientGone); !gone {
+		t.Errorf("the controller was told %+v", d.events)
+	}
+	b.ctl = &script{next: func([]control.Event) []control.Action {
+		return []control.Action{control.Refuse{ID: "1"}, control.Send{ID: "1", Node: "n"}}
+	}}
+	b.List(List{Kind: control.ListFailed})
+	b.step(ms)
+	if len(*got) != 1 || len(b.back.sent) != 0 {
+		t.Error("a second answer, or an attempt, after the last resort")
+	}
+}
+
+// TestPanicEndsTheHost: open requests are failed, the recorder is flushed, and the
+// loop does not go on.
+func TestPanicEndsTheHost(t *testing.T) {
+	b := newBench(t, nil)
+	rec := &flushed{}
+	b.opt.Recorder = rec
+	got, _ := b.ask(time.Second)
+	b.step(0)
+	b.ctl = &script{next: func([]control.Event) []control.Action { panic("a bug") }}
+	second, _ := b.ask(time.Second)
+	err := b.Run()
+	if err == nil || !strings.Contains(err.Error(), "a bug") {
+		t.Fatalf("run: %v", err)
+	}
+	if len(*got) != 1 || (*got)[0].Kind != Failed || len(*second) != 1 || (*second)[0].Kind != Failed || rec.n == 0 {
+		t.Errorf("%+v %+v, flushed %d", *got, *second, rec.n)
+	}
+	if _, err := b.Submit(&Request{Class: "read"}); !errors.Is(err, ErrStopped) {
+		t.Errorf("submit after the end: %v", err)
+	}
+}
+
+type flushed struct{ n int }
+
+func (*flushed) Batch(time.Duration, []control.Event, []control.Action) {}
+func (f *flushed) Flush()                                               { f.n++ }
+
+// TestActionsOfAllKinds carries each kind out.
+func TestActionsOfAllKinds(t *testing.T) {
+	d := &script{}
+	b := newBench(t, d)
+	reg := &register{}
+	b.Follow(reg)
+	got, _ := b.ask(time.Second)
+	b.step(0)
+	d.next = func([]control.Event) []control.Action {
+		d.next = nil
+		return []control.Action{control.Send{ID: "1", Node: "n", Within: 50 * ms}, control.Send{ID: "1", Node: "m"},
+			control.Send{ID: "1", Node: "nobody"}, control.Cancel{ID: "1", Attempt: 1}, control.Cancel{ID: "1", Attempt: 9},
+			control.SetTimer{At: b.at + 70*ms, Token: 42}, control.Probe{Node: "m"}, control.Subscribe{}, control.FetchList{},
+			control.Log{Text: "x"}, control.Refuse{ID: "unknown"}}
+	}
+	b.List(List{Kind: control.ListFailed})
+	b.turn()
+	if len(b.back.sent) != 2 || len(b.back.probed) != 1 || reg.n != 2 {
+		t.Fatalf("sent %d, probed %v, register %d", len(b.back.sent), b.back.probed, reg.n)
+	}
+	b.turn()
+	want := map[int]control.Result{1: control.Cancelled, 2: control.NotSent}
+	for _, e := range d.events {
+		o := e.(control.Outcome)
+		if want[o.Attempt] != o.Result {
+			t.Errorf("attempt %d: %v", o.Attempt, o.Result)
+		}
+		delete(want, o.Attempt)
+	}
+	if len(want) != 0 {
+		t.Errorf("no outcome for %v", want)
+	}
+	b.at += 51 * ms
+	b.turn()
+	if o, ok := d.events[0].(control.Outcome); !ok || o.Result != control.TimedOut || o.Attempt != 0 || o.Elapsed < 50*ms || o.Closed {
+		t.Errorf("the attempt's own time-out: %+v", d.events)
+	}
+	b.at += 20 * ms
+	b.turn()
+	if f, ok := d.events[0].(control.TimerFired); !ok || f.Token != 42 {
+		t.Errorf("timer: %+v", d.events)
+	}
+	d.next = func([]control.Event) []control.Action {
+		d.next = nil
+		return []control.Action{control.Fail{ID: "1"}, control.Send{ID: "1", Node: "n"}}
+	}
+	b.List(List{Kind: control.ListFailed})
+	b.step(0)
+	if len(*got) != 1 || len(b.back.sent) != 2 {
+		t.Errorf("%d answers; %d attempts, one of them after the final answer", len(*got), len(b.back.sent))
+	}
+}
+
+type register struct{ n int }
+
+func (r *register) Subscribe() { r.n++ }
+func (r *register) Fetch()     { r.n++ }
+
+// TestCeilingOfOpenRequests: at it a request is refused and nothing is lost.
+func TestCeilingOfOpenRequests(t *testing.T) {
+	b := newBench(t, &script{})
+	var all []*[]Answer
+	for range 3 {
+		got, _ := b.ask(100 * ms)
+		all = append(all, got)
+	}
+	if _, err := b.Submit(&Request{Class: "read", Expires: time.Second}); !errors.Is(err, ErrFull) {
+		t.Fatalf("fourth of three: %v", err)
+	}
+	b.step(0)
+	b.step(100 * ms)
+	for i, got := range all {
+		if len(*got) != 1 {
+			t.Errorf("request %d: %d answers", i, len(*got))
+		}
+	}
+	if _, err := b.Submit(&Request{Class: "read", Expires: time.Second, Answer: func(Answer) {}}); err != nil {
+		t.Errorf("after they ended: %v", err)
+	}
+}
+
+// TestClientLeaves: nothing is answered, and a late outcome still reaches the
+// controller, closed.
+func TestClientLeaves(t *testing.T) {
+	b := newBench(t, nil)
+	got, id := b.ask(time.Second)
+	b.step(0)
+	d := &script{}
+	b.ctl = d
+	b.Leave(id)
+	b.Leave(999)
+	b.step(0)
+	if _, ok := d.events[0].(control.ClientGone); !ok || len(d.events) != 1 {
+		t.Fatalf("told %+v", d.events)
+	}
+	b.Ended(Outcome{Ref: b.back.sent[0].Ref, Result: control.Done, Data: buffer.Get(1)})
+	b.step(0)
+	if o, ok := d.events[0].(control.Outcome); !ok || !o.Closed || len(*got) != 0 || len(b.reqs) != 0 {
+		t.Errorf("told %+v, %d answers, %d requests", d.events, len(*got), len(b.reqs))
+	}
+}
+
+// TestTimeInTheMailboxIsGone: a loop that stood still hands over what is left.
+func TestTimeInTheMailboxIsGone(t *testing.T) {
+	d := &script{}
+	b := newBench(t, d)
+	b.ask(time.Second)
+	b.at += 400 * ms
+	b.turn()
+	if r := d.events[0].(control.Request); r.Expires != 580*ms {
+		t.Errorf("the controller was given %v", r.Expires)
+	}
+}
+
+func TestStartedAtIsTheSameEachTime(t *testing.T) {
+	b := newBench(t, nil)
+	wall := time.Now().Add(-10 * time.Second)
+	first := b.StartedAt("n", wall)
+	b.at += time.Second
+	if again := b.StartedAt("n", wall); again != first || first <= 0 {
+		t.Errorf("%v, then %v", first, again)
+	}
+	if b.StartedAt("n", time.Now().Add(-2*ClockBase)) != 0 || b.StartedAt("n", time.Time{}) != 0 {
+		t.Error("long ago is not 0")
+	}
+}
+
+// echo answers every attempt at the next turn.
+type echo struct {
+	h    *Host
+	sent []Attempt
+}
+
+func (e *echo) Send(a Attempt) { e.sent = append(e.sent, a) }
+func (e *echo) Drop(uint64)    {}
+func (e *echo) Probe(string)   {}
+func (e *echo) Nodes([]Node)   {}
+
+// BenchmarkDecide is what one host loop decides: a request in, an attempt out, its
+// outcome in, the answer out, with 64 requests in a batch and so many nodes.
+func BenchmarkDecide(b *testing.B) {
+	for _, nodes := range []int{8, 42, 300} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			e := &echo{}
+			at := time.Hour
+			h, err := New(Options{Backend: e, Clock: func() time.Duration { return at },
+				Settings: control.Settings{Hosts: 1, MaxAttempts: 4, SecondCopies: true, LoadFields: []string{"queue", "latency_ms"},
+					Classes: []control.Class{{Name: "read", Aim: 100 * ms, Deadline: time.Second, Worth: 1}}}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			e.h = h
+			l := List{Kind: control.ListFull}
+			for i := range nodes {
+				l.Nodes = append(l.Nodes, Node{Node: control.Node{ID: fmt.Sprintf("n%03d", i), Shard: i}})
+			}
+			h.List(l)
+			h.turn()
+			answered := 0
+			done := func(Answer) { answered++ }
+			load := []float64{0, 1}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; i < b.N; i += 64 {
+				for k := range 64 {
+					h.Submit(&Request{Class: "read", Volume: "v", Item: "i", Shard: (i + k*7) % nodes, Units: 1,
+						Expires: time.Second, Answer: done})
+				}
+				at += 2 * ms
+				h.turn()
+				for len(e.sent) > 0 {
+					sent := e.sent
+					e.sent = nil
+					at += ms
+					for _, a := range sent {
+						h.Ended(Outcome{Ref: a.Ref, Result: control.Done, Load: load})
+					}
+					h.turn()
+				}
+			}
+			b.ReportMetric(float64(answered)/b.Elapsed().Seconds(), "requests/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/rsync/fake_test.go
@@ -0,0 +1,176 @@
+package rsync
+
+import (
+	"bytes"
+	"errors"
+	"path"
+	"sort"
+	"strings"
+)
+
+// memory is a gateway with one module in memory.
+type memory struct {
+	files   map[string]*memFile
+	modules []Module
+	secrets map[string]string
+	full    bool
+	most    int
+	begun   *Transfer
+	ended   int
+	endErr  error
+	logs    []string
+	slow    int // how often a reader says "not yet" before it has bytes
+	bad     map[string]error
+	open    int // readers that are open
+}
+
+type memFile struct {
+	File
+	data []byte
+}
+
+func newMemory() *memory {
+	return &memory{files: map[string]*memFile{}, most: 1000, bad: map[string]error{},
+		modules: []Module{{Name: "m", Comment: "a module"}, {Name: "hid", Hidden: true}, {Name: "ro", ReadOnly: true},
+			{Name: "wo", WriteOnly: true}, {Name: "private", Users: []string{"anna"}}}, secrets: map[string]string{"anna": "pw", "bert": "pw"}}
+}
+
+func (m *memory) add(p string, mode uint32, data string) {
+	m.files[p] = &memFile{File{Path: p, Mode: mode, Size: int64(len(data)), MTime: 1000}, []byte(data)}
+}
+
+func (m *memory) Modules() []Module { return m.modules }
+func (m *memory) Module(name string) (Module, bool) {
+	for _, x := range m.modules {
+		if x.Name == name {
+			return x, true
+		}
+	}
+	return Module{}, false
+}
+func (m *memory) MOTD() string      { return "welcome\n" }
+func (m *memory) Challenge() string { return "challenge" }
+func (m *memory) Seed() uint32      { return 12345 }
+func (m *memory) MaxFiles() int     { return m.most }
+func (m *memory) Secret(_, user string) (string, bool) {
+	s, ok := m.secrets[user]
+	return s, ok
+}
+func (m *memory) Enter(string) (int, bool) { return 3, !m.full }
+func (m *memory) Begin(t Transfer) (Tree, error) {
+	m.begun = &t
+	return m, nil
+}
+
+func (m *memory) Stat(p string) (File, bool, error) {
+	if f := m.files[p]; f != nil {
+		x := f.File
+		x.Ref = f
+		return x, true, nil
+	}
+	return File{Path: ".", Mode: typeDir | 0o755}, p == ".", nil
+}
+
+func (m *memory) Scan(dir, after string, deep bool, n int) (list []File, err error) {
+	prefix := dir + "/"
+	if dir == "." {
+		prefix = ""
+	}
+	var names []string
+	for p := range m.files {
+		if p != "." && strings.HasPrefix(p, prefix) && p > after && (deep || !strings.Contains(p[len(prefix):], "/")) {
+			names = append(names, p)
+		}
+	}
+	sort.Strings(names)
+	for _, p := range names[:min(n, len(names))] {
+		f, _, _ := m.Stat(p)
+		list = append(list, f)
+	}
+	return list, nil
+}
+
+func (m *memory) Open(f File) Reader {
+	m.open++
+	return &memReader{m: m, f: f.Ref.(*memFile), wait: m.slow}
+}
+
+type memReader struct {
+	m    *memory
+	f    *memFile
+	wait int
+}
+
+func (r *memReader) At(off int64, n int) ([]byte, bool, error) {
+	if err := r.m.bad[r.f.Path]; err != nil && off >= int64(len(r.f.data)/2) {
+		return nil, false, err
+	}
+	if r.wait > 0 {
+		r.wait--
+		return nil, false, nil
+	}
+	r.wait = r.m.slow
+	p := r.f.data[off:]
+	return p[:min(len(p), n)], true, nil
+}
+
+func (r *memReader) Close() { r.m.open-- }
+
+func (m *memory) Create(f File) Writer { return &memWriter{m: m, path: f.Path} }
+
+type memWriter struct {
+	m    *memory
+	path string
+	buf  bytes.Buffer
+	done bool
+	err  error
+}
+
+func (w *memWriter) Done() (bool, error) { return w.done, w.err }
+func (w *memWriter) Room() bool          { return true }
+func (w *memWriter) Write(p []byte)      { w.buf.Write(p) }
+func (w *memWriter) Finish(f File) {
+	w.done = true
+	f.Path = w.path
+	w.m.files[w.path] = &memFile{f, w.buf.Bytes()}
+}
+func (w *memWriter) Abort(err error) { w.done, w.err = true, err }
+
+func (m *memory) Put(f File) Pending {
+	x := &memFile{File: f}
+	if old, ok := f.Ref.(*memFile); ok {
+		x.data = old.data
+	}
+	m.files[path.Clean(f.Path)] = x
+	return &memWriter{done: true}
+}
+
+func (m *memory) Log(what, p string, err error) { m.logs = append(m.logs, what+" "+p) }
+func (m *memory) End(err error)                 { m.ended++; m.endErr = err }
+
+var errDisk = errors.New("a bad disk")
+
+// talk feeds a session input, in pieces of the given size, and collects its output.
+func talk(m *memory, input []byte, piece int) (*Session, []byte) {
+	s := NewSession(m)
+	var out []byte
+	take := func() {
+		for i := 0; i < 10000 && len(s.Out()) > 0; i++ {
+			out = append(out, s.Out()...)
+			s.Sent(len(s.Out()))
+			s.Resume()
+		}
+	}
+	take()
+	for len(input) > 0 {
+		n := min(piece, len(input))
+		s.Feed(input[:n])
+		input = input[n:]
+		take()
+	}
+	for range 50 { // for readers that are slow
+		s.Resume()
+		take()
+	}
+	return s, out
+}
--- /dev/null
+++ b/internal/rsync/parts_test.go
@@ -0,0 +1,219 @@
+package rsync
+
+import (
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/crypto/md4"
+	"pgregory.net/rapid"
+)
+
+// TestOrder has the order in which both sides count, protocol 29.
+func TestOrder(t *testing.T) {
+	want := []string{".", "a", "a.txt", "b-", "z", "a-b/", "a-b/x", "a/", "a/b", "a/z", "a/c/", "a/c/d", "aa/", "aa/x"}
+	var list []File
+	for _, p := range want {
+		f := File{Path: strings.TrimSuffix(p, "/"), Mode: typeFile}
+		if strings.HasSuffix(p, "/") || p == "." {
+			f.Mode = typeDir
+		}
+		list = append(list, f)
+	}
+	rng := rand.New(rand.NewSource(1))
+	for range 100 {
+		rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		sortList(list, 29)
+		for i, f := range list {
+			if f.Path != strings.TrimSuffix(want[i], "/") || (f.Mode == typeDir) != (strings.HasSuffix(want[i], "/") || want[i] == ".") {
+				t.Fatalf("place %d: %s, want %s", i, f.Path, want[i])
+			}
+		}
+	}
+	sortList(list, 28)
+	if !slices.IsSortedFunc(list, func(a, b File) int { return strings.Compare(a.Path, b.Path) }) {
+		t.Error("before protocol 29 names are compared byte by byte")
+	}
+}
+
+// TestOrderIsOne checks that the order is total whatever the names.
+func TestOrderIsOne(t *testing.T) {
+	name := rapid.StringMatching(`[-./ab]{1,6}`)
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string) File {
+			p, err := CleanPath(name.Draw(t, label))
+			if err != nil {
+				p = "x"
+			}
+			f := File{Path: p, Mode: typeFile}
+			if rapid.Bool().Draw(t, label+" dir") || p == "." {
+				f.Mode = typeDir
+			}
+			return f
+		}
+		a, b, c := draw("a"), draw("b"), draw("c")
+		if compareFiles(a, b) != -compareFiles(b, a) {
+			t.Fatalf("%+v %+v", a, b)
+		}
+		if compareFiles(a, b) <= 0 && compareFiles(b, c) <= 0 && compareFiles(a, c) > 0 {
+			t.Fatalf("%+v %+v %+v", a, b, c)
+		}
+	})
+}
+
+func TestCleanPath(t *testing.T) {
+	for in, want := range map[string]string{"a": "a", "a/b": "a/b", "./a//b/.": "a/b", ".": ".", "a/..b": "a/..b", "...": "..."} {
+		if got, err := CleanPath(in); err != nil || got != want {
+			t.Errorf("%q: %q, %v, want %q", in, got, err, want)
+		}
+	}
+	for in, want := range map[string]string{"": "0 bytes", "/a": "absolute", "a/../b": "'..'", "..": "'..'", "a\x00": "NUL",
+		strings.Repeat("a/", 3000): "6000 bytes", strings.Repeat("x", 256): "256 bytes"} {
+		if got, err := CleanPath(in); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.20q: %q, %v, want %q", in, got, err, want)
+		}
+	}
+}
+
+func FuzzCleanPath(f *testing.F) {
+	f.Add("a/./b")
+	f.Add("../x")
+	f.Fuzz(func(t *testing.T, in string) {
+		p, err := CleanPath(in)
+		if err != nil {
+			return
+		}
+		if again, err := CleanPath(p); err != nil || again != p || strings.HasPrefix(p, "/") || slices.Contains(strings.Split(p, "/"), "..") {
+			t.Fatalf("%q became %q, then %q, %v", in, p, again, err)
+		}
+	})
+}
+
+func TestFilter(t *testing.T) {
+	for _, c := range []struct {
+		rules string // set apart by |
+		path  string
+		dir   bool
+		out   bool
+	}{
+		{"- *.o", "a/b.o", false, true},
+		{"- *.o", "a/b.c", false, false},
+		{"+ keep.o|- *.o", "keep.o", false, false},
+		{"- /top", "top", false, true},
+		{"- /top", "sub/top", false, false},
+		{"- sub/", "sub", true, true},
+		{"- sub/", "sub", false, false},
+		{"- a/*/c", "x/a/b/c", false, true},
+		{"- a/*/c", "a/b/b/c", false, false},
+		{"- a/**/c", "a/b/b/c", false, true},
+		{"- /*/*", "a/b", false, true},
+		{"- /*/*", "a", false, false},
+		{"- dir/***", "dir", true, true},
+		{"- dir/***", "dir/x/y", false, true},
+		{"- [a-c]?", "b1", false, true},
+		{"- [!a-c]?", "b1", false, false},
+		{`- a\*`, "a*", false, true},
+		{`- a\*`, "ab", false, false},
+		{"-! *.txt", "a.o", false, true},
+		{"-r x", "x", false, false},
+		{"H x", "x", false, true},
+		{"P x", "x", false, false},
+		{"- x|!", "x", false, false},
+		{"- [", "[", false, true},
+	} {
+		f := &filter{}
+		for text := range strings.SplitSeq(c.rules, "|") {
+			if err := f.add(text, 29); err != nil {
+				t.Errorf("%s: %v", text, err)
+			}
+		}
+		if got := f.leavesOut(c.path, c.dir); got != c.out {
+			t.Errorf("%q leaves out %s: %v, want %v", c.rules, c.path, got, c.out)
+		}
+	}
+	old := &filter{}
+	if err := old.add("*.o", 28); err != nil || !old.leavesOut("x.o", false) {
+		t.Errorf("bare pattern of protocol 28: %v", err)
+	}
+}
+
+// TestPatternTimeIsBounded: stars do not multiply.
+func TestPatternTimeIsBounded(t *testing.T) {
+	done := make(chan bool)
+	go func() { done <- wildMatch(strings.Repeat("*a", 2000), strings.Repeat("a", 4000)+"b") }()
+	select {
+	case got := <-done:
+		if got {
+			t.Error("matched")
+		}
+	case <-time.After(time.Minute):
+		t.Fatal("did not end")
+	}
+}
+
+func FuzzFilter(f *testing.F) {
+	f.Add("- a/**/[b-d]*", "a/x/c")
+	f.Add("+ [", "[")
+	f.Fuzz(func(t *testing.T, rule, path string) {
+		if len(rule) > 200 || len(path) > 200 {
+			return
+		}
+		x := &filter{}
+		if x.add(rule, 29) == nil {
+			x.leavesOut(path, false)
+		}
+	})
+}
+
+// TestRolling compares the rolled sum with one made anew at each place.
+func TestRolling(t *testing.T) {
+	p := make([]byte, 2000)
+	rand.New(rand.NewSource(3)).Read(p)
+	const n = 700
+	w := weakOf(p[:n])
+	for i := range len(p) - n {
+		if w.sum() != weakOf(p[i:i+n]).sum() {
+			t.Fatalf("at %d", i)
+		}
+		w.roll(n, p[i], p[i+n])
+	}
+	for k := n; k > 1; k-- {
+		at := len(p) - k
+		if w.sum() != weakOf(p[at:]).sum() {
+			t.Fatalf("with %d left", k)
+		}
+		w.drop(k, p[at])
+	}
+}
+
+// TestSums has sums as other implementations make them (RFC 1320 for MD4).
+func TestSums(t *testing.T) {
+	if got := weakOf([]byte("abc")).sum(); got != 294|(97+195+294)<<16 {
+		t.Errorf("weak sum of abc: %x", got)
+	}
+	if got := weakOf([]byte{0xff}).sum(); got != 0xffff|0xffff<<16 {
+		t.Errorf("bytes are signed: %x", got)
+	}
+	want := md4.New()
+	want.Write([]byte("abc\x01\x02\x00\x00"))
+	if got := strongOf(md4.New(), []byte("abc"), 0x201, nil); string(got) != string(want.Sum(nil)) {
+		t.Errorf("strong sum %x", got)
+	}
+}
+
+func TestBlocks(t *testing.T) {
+	for _, size := range []int64{0, 1, 699, 700, 701, 490_000, 490_001, 1 << 20, 64 << 20, 10 << 30} {
+		h := blocksOf(size, false)
+		if h.bytes() != size || !h.check() && h.count <= maxSums {
+			t.Errorf("%d bytes: %+v make %d", size, h, h.bytes())
+		}
+		if size > 0 && (h.strong < 2 || h.block < 700 || h.block%4 != 0) {
+			t.Errorf("%d bytes: %+v", size, h)
+		}
+		if size > 0 && blocksOf(size, true).strong != md4.Size {
+			t.Errorf("%d bytes: whole sums are short", size)
+		}
+	}
+}
