The hard cases on sockets, and a gateway killed in the middle of everything

Change: tests on real sockets for a drain in a long file, a push cut at 50 positions, a client that stops reading while 500 go on, a thousand connections, 200 pulls and 50 pushes at once, hostile sockets, corrupt extents, modules, draining; a process killed six times under pushes; SIGHUP and SIGTERM; a recorded run replayed after a kill.

--- /dev/null
+++ b/cmd/eiderhold/kill_test.go
@@ -0,0 +1,257 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderhold/internal/config"
+	"eiderhold/internal/standin"
+)
+
+// serveProcess starts a gateway's process on a settings file and returns its address.
+func serveProcess(t *testing.T, file string) (*exec.Cmd, string) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], "serve", "--config", file)
+	cmd.Env = append(os.Environ(), asProgram+"=1")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log strings.Builder
+	cmd.Stderr = &log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	line, _ := bufio.NewReader(out).ReadString('\n')
+	addr := strings.TrimSuffix(strings.TrimPrefix(strings.TrimSpace(line), "rsync://"), "/")
+	if addr == "" {
+		cmd.Wait()
+		t.Fatalf("serve does not start: %s", log.String())
+	}
+	return cmd, addr
+}
+
+// siteAndSettings starts nodes and writes a gateway's settings.
+func siteAndSettings(t *testing.T, change func(*config.Config)) (*standin.Site, string) {
+	t.Helper()
+	site, err := standin.StartSite("", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Close)
+	for i := range 3 {
+		if _, err := site.Add(standin.NodeOptions{ID: fmt.Sprintf("node-%d", i), Shard: i, Cores: 4, Queue: 256,
+			KeyWindow: 1200 * time.Millisecond, UnitTime: 500 * time.Microsecond}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cfg := config.Default()
+	cfg.Gateway.Dir, cfg.Register.URL, cfg.Rsync.Listen = "data", site.Register.URL(), "127.0.0.1:0"
+	if change != nil {
+		change(cfg)
+	}
+	text, err := cfg.Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "gateway.toml")
+	if err := os.WriteFile(file, text, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return site, file
+}
+
+func seeded(seed int64, n int) []byte {
+	p := make([]byte, n)
+	rand.New(rand.NewSource(seed)).Read(p)
+	return p
+}
+
+// TestKilledInTheMiddle kills a gateway's process again and again while clients push
+// new versions of ten files and pull them back, and starts it on the same folder. What
+// a client was told was pushed is there; whatever is listed is whole.
+func TestKilledInTheMiddle(t *testing.T) {
+	site, file := siteAndSettings(t, nil)
+	rng := rand.New(rand.NewSource(20261201))
+	const files = 10
+	version := make([]int, files)   // newest that a push was begun of
+	confirmed := make([]int, files) // newest that a client was told is there
+	bytesOf := func(i, v int) []byte { return seeded(int64(i*1000+v), 200_000+i*30_000) }
+	for round := range 6 {
+		cmd, addr := serveProcess(t, file)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		for i := range files {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for ctx.Err() == nil {
+					version[i]++
+					v := version[i]
+					f := standin.ClientFile{Path: fmt.Sprint("f", i), Data: bytesOf(i, v), MTime: int64(v)}
+					rep, err := (&standin.Client{Addr: addr}).Push(ctx, "records", "", []standin.ClientFile{f})
+					if err == nil && rep.Goodbye && len(rep.Said) == 0 {
+						confirmed[i] = v
+					}
+				}
+			}()
+		}
+		time.Sleep(time.Duration(150+rng.Intn(300)) * time.Millisecond) // some time into it, no matter when
+		cmd.Process.Kill()
+		cmd.Wait()
+		cancel()
+		wg.Wait()
+
+		cmd, addr = serveProcess(t, file)
+		found := map[int]bool{}
+		for try := 0; ; try++ { // it may not know its nodes yet
+			rep, err := (&standin.Client{Addr: addr}).Pull(context.Background(), "records", "", nil)
+			if err == nil && len(rep.Said) == 0 {
+				for _, f := range rep.Files {
+					var i int
+					if _, err := fmt.Sscanf(f.Path, "f%d", &i); err != nil {
+						continue
+					}
+					found[i] = true
+					v := int(f.MTime)
+					if v < confirmed[i] || v > version[i] || string(f.Data) != string(bytesOf(i, v)) {
+						t.Fatalf("round %d: %s is of version %d with %d bytes; confirmed %d, begun %d", round, f.Path, v,
+							len(f.Data), confirmed[i], version[i])
+					}
+				}
+				break
+			}
+			if try == 200 {
+				t.Fatalf("round %d: %v %q", round, err, rep.Said)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		for i, v := range confirmed {
+			if v > 0 && !found[i] {
+				t.Fatalf("round %d: f%d is not listed; it was confirmed at version %d", round, i, v)
+			}
+		}
+		cmd.Process.Signal(syscall.SIGTERM)
+		if err := cmd.Wait(); err != nil {
+			t.Fatalf("round %d: after SIGTERM: %v", round, err)
+		}
+	}
+	total := 0
+	for _, v := range confirmed {
+		total += v
+	}
+	if total == 0 {
+		t.Error("no push was ever confirmed")
+	}
+
+	// in the end what the kills left behind is collected
+	cmd, _ := serveProcess(t, file)
+	defer func() { cmd.Process.Kill(); cmd.Wait() }()
+	want := 0
+	for i := range files {
+		want += (200_000 + i*30_000 + 262143) / 262144
+	}
+	items := 0
+	for limit := time.Now().Add(60 * time.Second); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		items = 0
+		for i := range 3 {
+			d, _ := site.Disk(i)
+			items += d.Items()
+		}
+		if items == want {
+			return
+		}
+	}
+	t.Errorf("%d items are at the nodes, %d belong to files", items, want)
+}
+
+// TestSignals: SIGHUP takes new modules all or nothing, SIGTERM ends with 0, and two
+// processes never have one folder.
+func TestSignals(t *testing.T) {
+	_, file := siteAndSettings(t, nil)
+	cmd, addr := serveProcess(t, file)
+	second := exec.Command(os.Args[0], "serve", "--config", file)
+	second.Env = append(os.Environ(), asProgram+"=1")
+	if out, err := second.CombinedOutput(); err == nil || !strings.Contains(string(out), "another process has the catalogue open") {
+		t.Errorf("a second process on the folder: %v %s", err, out)
+	}
+	text, _ := os.ReadFile(file)
+	change := func(from, to string) {
+		if err := os.WriteFile(file+".new", []byte(strings.Replace(string(text), from, to, 1)), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(file+".new", file); err != nil { // never half of it
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+	}
+	readOnly := func() bool {
+		rep, _ := (&standin.Client{Addr: addr}).Push(context.Background(), "records", "", []standin.ClientFile{{Path: "f", Data: []byte("x"), MTime: 1}})
+		return strings.Contains(strings.Join(rep.Said, ""), "read only")
+	}
+	change("read_only = false", "read_only = true")
+	for limit := time.Now().Add(20 * time.Second); !readOnly(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("the reload was not taken")
+		}
+	}
+	change("read_only = false", "read_only = maybe") // nothing of it is taken
+	change("tries = 4", "tries = 9")
+	if !readOnly() {
+		t.Error("a reload that could not be used changed something")
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("SIGTERM: %v", err)
+	}
+}
+
+// TestRecordedRunReplays records a gateway in trouble until it is killed, and plays the
+// record to a fresh controller.
+func TestRecordedRunReplays(t *testing.T) {
+	site, file := siteAndSettings(t, func(c *config.Config) {
+		c.Recorder.On, c.Recorder.FileSize = true, 1<<16
+		c.Recorder.Files = 1000
+	})
+	cmd, addr := serveProcess(t, file)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for k := range 6 {
+				f := standin.ClientFile{Path: fmt.Sprint("f", i), Data: seeded(int64(i), 300_000), MTime: int64(k + 1)}
+				c := &standin.Client{Addr: addr, Timeout: 2 * time.Second}
+				c.Push(context.Background(), "records", "", []standin.ClientFile{f}) // some fail: that is the point
+				(&standin.Client{Addr: addr, Timeout: 2 * time.Second}).Pull(context.Background(), "records", "", nil)
+				if i == 0 && k == 2 {
+					site.Node("node-1").Set(func(x *standin.Trouble) { x.ErrorPart, x.LostPart = 0.3, 0.2 })
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	cmd.Process.Kill()
+	cmd.Wait()
+	files, err := filepath.Glob(filepath.Join(filepath.Dir(file), "data", "record", "batches-*"))
+	if err != nil || len(files) < 2 {
+		t.Fatalf("%d files: %v", len(files), err)
+	}
+	out, status := program(t, append([]string{"replay"}, files...)...)
+	if status != exitDone || !strings.Contains(out, "the same") {
+		t.Errorf("status %d: %s", status, out)
+	}
+	if out, status = program(t, "replay", files[1]); status != exitNot || !strings.Contains(out, "an earlier file is missing") {
+		t.Errorf("without its beginning: status %d: %s", status, out)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -238,7 +238,7 @@
 }
 
 // Parse reads and checks a file's text. What a file does not name keeps its default;
-// classes, plans and modules are taken as a whole where it names any.
+// classes and plans are taken as a whole where it names any; modules it must name.
 func Parse(text []byte, name string) (*Config, error) {
 	c := Default()
 	var lists struct {
@@ -253,9 +253,7 @@
 		if len(lists.Plans) > 0 {
 			c.Plans = nil
 		}
-		if len(lists.Modules) > 0 {
-			c.Modules = nil
-		}
+		c.Modules = nil // they must be named: a file that is empty, or cut off, is not the default
 	}
 	d := toml.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
--- a/internal/front/rsync/front.go
+++ b/internal/front/rsync/front.go
@@ -78,6 +78,7 @@
 	budget   pacing.Budget
 	hungry   map[*conn]bool // wait for room in the budget
 	draining bool
+	parting  int // clients that were turned away and have not gone
 	stats    Stats
 
 	timeMu sync.Mutex
@@ -107,6 +108,7 @@
 	outPoll  = 2 * time.Millisecond // how often a full one is looked at
 	inPause  = 512 << 10            // bytes read and not taken, at which a socket is no longer read
 	inShed   = 8 << 20              // and at which it is closed
+	partMost = 256                  // clients turned away that may take their time to go
 	stallBit = 1 * time.Second      // how often stalls are looked for
 )
 
@@ -312,8 +314,16 @@
 		if f.draining {
 			text = "@ERROR: the gateway is shutting down -- try again later\n"
 		}
+		many := f.parting >= partMost
+		if !many {
+			f.parting++
+		}
 		f.mu.Unlock()
-		return []byte(text), gnet.Close
+		if many {
+			return []byte(text), gnet.Close
+		}
+		f.turnAway(g, text)
+		return nil, gnet.None
 	}
 	c := newConn(f, g)
 	f.conns[c] = true
@@ -324,8 +334,24 @@
 	return nil, c.turn()
 }
 
+// turnedAway marks a client that was told to come later.
+type turnedAway struct{}
+
+// turnAway tells a client to come later. What it sends is thrown away for a moment: a
+// socket closed over unread bytes would be reset, and the text lost.
+func (f *Front) turnAway(g gnet.Conn, text string) {
+	g.SetContext(turnedAway{})
+	_, _ = g.Write([]byte(text))
+	_ = unix.Shutdown(g.Fd(), unix.SHUT_WR)
+	time.AfterFunc(partTime, func() { _ = g.Close() })
+}
+
 // OnTraffic feeds the session.
 func (h *handler) OnTraffic(g gnet.Conn) gnet.Action {
+	if _, away := g.Context().(turnedAway); away {
+		_, _ = g.Discard(-1)
+		return gnet.None
+	}
 	c, ok := g.Context().(*conn)
 	if !ok {
 		return gnet.Close
@@ -335,6 +361,11 @@
 
 // OnClose ends the session, unless the socket was only set aside.
 func (h *handler) OnClose(g gnet.Conn, err error) gnet.Action {
+	if _, away := g.Context().(turnedAway); away {
+		h.f.mu.Lock()
+		h.f.parting--
+		h.f.mu.Unlock()
+	}
 	c, ok := g.Context().(*conn)
 	if !ok || c.g != g {
 		return gnet.None
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,45 +39,47 @@
 	mu     sync.Mutex
 	shards map[int]bool
 
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
-	ended  chan struct{}
-	err    error // of the host loop, once ended is closed
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	running bool // the host loop was started
+	ended   chan struct{}
+	err     error // of the host loop, once ended is closed
 }
 
 // Start starts a gateway; it serves when Start returns.
-func Start(cfg *config.Config, log *slog.Logger) (g *Gateway, err error) {
+func Start(cfg *config.Config, log *slog.Logger) (*Gateway, error) {
+	g := &Gateway{cfg: cfg, log: log, shards: map[int]bool{}, ended: make(chan struct{})}
+	if err := g.start(); err != nil {
+		return nil, errors.Join(err, g.Close())
+	}
+	return g, nil
+}
+
+// start starts the parts, each after those that it needs. Close ends what there is.
+func (g *Gateway) start() error {
+	cfg, log := g.cfg, g.log
 	set, err := cfg.Settings()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	modules, err := Modules(cfg)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	g = &Gateway{cfg: cfg, log: log, shards: map[int]bool{}, ended: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	defer func() {
-		if err != nil {
-			g.Close()
-			g = nil
-		}
-	}()
 	names := make([]string, len(modules))
 	for i, m := range modules {
 		names[i] = m.Name
 	}
 	if g.cat, err = store.Open(cfg.Gateway.Dir, cfg.Gateway.Name, names); err != nil {
-		close(g.ended)
-		return nil, err
+		return err
 	}
 	n := &cfg.Nodes
 	if g.back, err = backend.New(backend.Settings{Name: cfg.Gateway.Name, Conns: n.Conns, Streams: n.Streams,
 		Waiting: n.Waiting, DialTimeout: n.Dial.D(), IdleClose: n.IdleClose.D(), Cancelling: n.Cancel, Loops: n.Loops},
 		nil, log); err != nil {
-		close(g.ended)
-		return nil, err
+		return err
 	}
 	seed := cfg.Gateway.Seed
 	if seed == 0 {
@@ -87,20 +89,19 @@
 	if rc := &cfg.Recorder; rc.On {
 		if g.rec, err = record.NewWriter(record.Options{Dir: filepath.Join(cfg.Gateway.Dir, "record"),
 			FileBytes: rc.FileSize, Files: rc.Files}, set, seed); err != nil {
-			close(g.ended)
-			return nil, err
+			return err
 		}
 		ho.Recorder = g.rec
 	}
 	if g.host, err = host.New(ho); err != nil {
-		close(g.ended)
-		return nil, err
+		return err
 	}
 	g.back.Own(g.host)
 	g.feed = register.New(register.Settings{URL: cfg.Register.URL, Gateway: cfg.Gateway.Name,
 		Cache: filepath.Join(cfg.Gateway.Dir, "nodes.json"), Silence: cfg.Register.Silence.D(),
 		Settle: cfg.Register.Settle.D(), Seed: seed}, g, log)
 	g.host.Follow(g.feed)
+	g.running = true
 	go func() {
 		g.err = g.host.Run()
 		close(g.ended)
@@ -112,7 +113,7 @@
 		Classes: set.Classes, Work: cfg.Work(), Pacing: cfg.PacingSettings(), Modules: modules, MOTD: r.MOTD,
 		ExtentBytes: r.Extent, MaxConns: r.Conns, MaxFiles: r.Files, Budget: r.Budget, Handshake: r.Handshake.D(),
 		Stall: r.Stall.D(), Log: log}); err != nil {
-		return nil, err
+		return err
 	}
 	plans := map[string]string{}
 	for _, m := range modules {
@@ -128,7 +129,7 @@
 		g.cat, g.host, cfg.Work(), g.Shards, log)
 	g.wg.Add(1)
 	go func() { defer g.wg.Done(); c.Run(ctx) }()
-	return g, nil
+	return nil
 }
 
 // Modules turns the settings' modules into the front's, with their secrets.
@@ -228,12 +229,12 @@
 	if g.rs != nil {
 		errs = append(errs, g.rs.Close())
 	}
-	g.cancel()
-	if g.host != nil {
+	if g.cancel != nil {
+		g.cancel()
+	}
+	if g.running {
 		g.host.Stop(nil)
-		if g.feed != nil {
-			<-g.ended
-		}
+		<-g.ended
 	}
 	g.wg.Wait()
 	if g.back != nil {
--- /dev/null
+++ b/internal/gateway/hard_test.go
@@ -0,0 +1,493 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/zeebo/blake3"
+
+	"eiderhold/internal/audit"
+	"eiderhold/internal/config"
+	"eiderhold/internal/host"
+	"eiderhold/internal/standin"
+)
+
+// TestDrainInTheMiddle: the node that holds a long file is announced draining while
+// the file is read slowly. Nothing new reaches it after the grace, counted at the node;
+// the rest comes from the successor that takes its shard.
+func TestDrainInTheMiddle(t *testing.T) {
+	dir := t.TempDir()
+	trace, err := audit.Create(dir, "sockets")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := startTraced(t, 2, standin.NodeOptions{UnitTime: 10 * time.Millisecond}, func(c *config.Config) {
+		c.Safety.DrainGrace = config.Duration(300 * time.Millisecond)
+		c.Pacing.WindowTop = 2
+		c.Safety.ColdFor = 0
+	}, trace)
+	all := r.only("node-1", 2)
+	f := file("long", content(1, 8<<20)) // 32 extents of 40 ms
+	r.push("", f)
+	all()
+
+	ended := make(chan error, 1)
+	go func() {
+		rep, err := r.client().Pull(context.Background(), "records", "long", nil)
+		if err == nil && (len(rep.Files) != 1 || string(rep.Files[0].Data) != string(f.Data)) {
+			err = fmt.Errorf("%d files, said %q", len(rep.Files), rep.Said)
+		}
+		ended <- err
+	}()
+	old := r.site.Node("node-1")
+	before := old.Counts().Arrived
+	r.until("the first extents", func() bool { return old.Counts().Arrived >= before+3 })
+	next, err := r.site.Replace("node-1", "node-9", 600*time.Millisecond, func(d time.Duration) { time.Sleep(d) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("the transfer: %v", err)
+	}
+	if next.Counts().Done == 0 {
+		t.Error("the successor served nothing")
+	}
+	if err := trace.Close(); err != nil {
+		t.Fatal(err)
+	}
+	recs, err := audit.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := audit.Check(recs, &audit.Rules{DrainGrace: 300 * time.Millisecond, Travel: 100 * time.Millisecond,
+		Classes: []audit.Class{{Name: "record-read", Effect: "safe"}, {Name: "record-write", Effect: "keyed", Group: "cell", Window: 1200 * time.Millisecond}}})
+	for _, b := range rep.Breaches {
+		t.Errorf("rule %d: %s", b.Rule, b.Text)
+	}
+	if rep.Checked[3] == 0 {
+		t.Error("no arrival was looked at")
+	}
+}
+
+// TestPushCutAnywhere cuts a push at 50 seeded positions. The old files stay whole and
+// readable, nothing half-written is ever listed, and what was left behind is collected.
+func TestPushCutAnywhere(t *testing.T) {
+	r := start(t, 3, standin.NodeOptions{}, nil)
+	old := []standin.ClientFile{file("a", content(1, 300_000)), file("b", content(2, 700_000))}
+	fresh := []standin.ClientFile{file("a", content(3, 310_000)), file("b", content(4, 650_000)), file("c", content(5, 200_000))}
+	for i := range fresh {
+		fresh[i].MTime += 7
+	}
+	rng := rand.New(rand.NewSource(20261201))
+	cuts := 50
+	if testing.Short() {
+		cuts = 10
+	}
+	for i := range cuts {
+		dir := fmt.Sprintf("d%d/", i)
+		r.push(dir, old...)
+		c := r.client()
+		c.CutAfter = 60 + rng.Int63n(1_160_000)
+		rep, err := c.Push(context.Background(), "records", dir, fresh)
+		if err == nil {
+			t.Fatalf("cut %d at %d: the push ended well: %+v", i, c.CutAfter, rep)
+		}
+		r.until("the connection's end", func() bool { return r.gw.Front().Stats().Conns == 0 })
+		rep = r.pull(dir)
+		got := map[string][]byte{}
+		for _, f := range rep.Files {
+			got[f.Path] = f.Data
+		}
+		for k, f := range fresh { // each is the old one or the new one, whole
+			data, there := got[f.Path]
+			isNew := there && string(data) == string(f.Data)
+			isOld := k < 2 && string(data) == string(old[k].Data) || k == 2 && !there
+			if !isNew && !isOld {
+				t.Fatalf("cut %d at %d: %s has %d bytes, neither old nor new", i, c.CutAfter, f.Path, len(data))
+			}
+		}
+		r.push(dir, fresh...)
+		same(t, r.pull(dir), fresh...)
+	}
+	r.until("collection of what was left behind", func() bool {
+		n := 0
+		for i := range 3 {
+			d, _ := r.site.Disk(i)
+			n += d.Items()
+		}
+		return n == cuts*(2+3+1)
+	})
+}
+
+// TestClientStopsReading: one client stands still in the middle of a large file while
+// 500 others go on. Memory stays bounded, the others are all served, and the one goes
+// on to its end.
+func TestClientStopsReading(t *testing.T) {
+	r := start(t, 4, standin.NodeOptions{}, nil)
+	big := file("big", content(1, 64<<20))
+	small := file("small", content(2, 100_000))
+	r.push("", big, small)
+	runtime.GC()
+	var before, during runtime.MemStats
+	runtime.ReadMemStats(&before)
+
+	ended := make(chan error, 1)
+	stuck := make(chan bool)
+	go func() {
+		c := r.client()
+		c.StopRead = 5 * time.Second
+		c.Before = func(string) { close(stuck) }
+		rep, err := c.Pull(context.Background(), "records", "big", nil)
+		if err == nil && (len(rep.Files) != 1 || blake3.Sum256(rep.Files[0].Data) != blake3.Sum256(big.Data)) {
+			err = fmt.Errorf("%d files, said %q", len(rep.Files), rep.Said)
+		}
+		ended <- err
+	}()
+	<-stuck
+	var wg sync.WaitGroup
+	errs := make(chan error, 500)
+	gate := make(chan bool, 100)
+	for range 500 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			gate <- true
+			defer func() { <-gate }()
+			rep, err := r.client().Pull(context.Background(), "records", "small", nil)
+			if err != nil || len(rep.Files) != 1 || len(rep.Files[0].Data) != len(small.Data) {
+				errs <- fmt.Errorf("%v, said %q", err, rep.Said)
+			}
+		}()
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		t.Error(err)
+	}
+	select {
+	case err := <-ended:
+		t.Errorf("the one that stands still has ended: %v", err)
+	default:
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	if grew := int64(during.HeapAlloc) - int64(before.HeapAlloc); grew > 48<<20 {
+		t.Errorf("%d MiB more are held while a client of a 64 MiB file stands still", grew>>20)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("the one that stood still: %v", err)
+	}
+	r.until("the budget's return", func() bool { return r.gw.Front().Stats().Budget == 0 })
+}
+
+// TestThousandConnections opens and closes them at once, some in the middle of a
+// greeting; over the ceiling clients are told so in rsync's own words.
+func TestThousandConnections(t *testing.T) {
+	r := start(t, 1, standin.NodeOptions{}, func(c *config.Config) { c.Rsync.Conns = 1000 })
+	conns := make([]net.Conn, 1000)
+	var wg sync.WaitGroup
+	for i := range conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c, err := net.Dial("tcp", r.gw.Addr())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			conns[i] = c
+			if i%3 == 0 {
+				fmt.Fprint(c, "@RSYNCD: 2")
+			}
+		}()
+	}
+	wg.Wait()
+	r.until("a thousand connections", func() bool { return r.gw.Front().Stats().Conns == 1000 })
+	extra, err := net.Dial("tcp", r.gw.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(extra)
+	if string(text) != "@ERROR: max connections (1000) reached -- try again later\n" {
+		t.Errorf("one more: %q", text)
+	}
+	extra.Close()
+	for _, c := range conns {
+		if c != nil {
+			wg.Add(1)
+			go func() { defer wg.Done(); c.Close() }()
+		}
+	}
+	wg.Wait()
+	r.until("their end", func() bool { return r.gw.Front().Stats().Conns == 0 })
+	r.push("", file("f", []byte("still here")))
+}
+
+// TestManyAtOnce: 200 pulls and 50 pushes at a time, byte for byte right. A client that
+// is refused comes back until it has everything.
+func TestManyAtOnce(t *testing.T) {
+	r := start(t, 4, standin.NodeOptions{}, nil)
+	var tree []standin.ClientFile
+	for i := range 10 {
+		tree = append(tree, file(fmt.Sprintf("f%d", i), content(int64(i), 50_000+i*50_000)))
+	}
+	r.push("", tree...)
+	want := map[string][32]byte{}
+	for _, f := range tree {
+		want[f.Path] = blake3.Sum256(f.Data)
+	}
+	// told says that a transfer which did not bring everything said why.
+	told := func(rep *standin.Report) bool {
+		text := strings.Join(rep.Said, " ")
+		return strings.Contains(text, "refused") || strings.Contains(text, "failed") || strings.Contains(text, "no time left")
+	}
+	push := func(i int) error {
+		f := file(fmt.Sprintf("new-%d", i), content(int64(1000+i), 400_000))
+		for range 100 {
+			rep, err := r.client().Push(context.Background(), "records", "", []standin.ClientFile{f})
+			if err == nil && len(rep.Said) == 0 {
+				return nil
+			}
+			if !told(rep) {
+				return fmt.Errorf("push %d: %v, said %q", i, err, rep.Said)
+			}
+		}
+		return fmt.Errorf("push %d: not served", i)
+	}
+	pull := func(i int) error {
+		got := map[string]bool{}
+		for range 100 {
+			rep, err := r.client().Pull(context.Background(), "records", "f*", nil)
+			for _, f := range rep.Files {
+				if blake3.Sum256(f.Data) != want[f.Path] {
+					return fmt.Errorf("pull %d: %s came otherwise than it was pushed", i, f.Path)
+				}
+				got[f.Path] = true
+			}
+			if len(got) == len(tree) {
+				return nil
+			}
+			if !told(rep) {
+				return fmt.Errorf("pull %d: %d files, %v, said %q", i, len(rep.Files), err, rep.Said)
+			}
+		}
+		return fmt.Errorf("pull %d: not served", i)
+	}
+	var wg sync.WaitGroup
+	for i := range 250 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			do := pull
+			if i%5 == 4 {
+				do = push
+			}
+			if err := do(i); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	wg.Wait()
+	news := 0
+	for range 100 {
+		rep, err := r.client().Pull(context.Background(), "records", "new-*", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		news = len(rep.Files)
+		for _, f := range rep.Files {
+			var i int
+			fmt.Sscanf(f.Path, "new-%d", &i)
+			if blake3.Sum256(f.Data) != blake3.Sum256(content(int64(1000+i), 400_000)) {
+				t.Fatalf("%s came otherwise than it was pushed", f.Path)
+			}
+		}
+		if news == 50 {
+			break
+		}
+	}
+	if news != 50 {
+		t.Errorf("%d of 50 pushed files came back", news)
+	}
+}
+
+// TestHostileSockets: what parsers cannot see: slowness, silence, resets. Each is sent
+// away in bounded time, and others are served meanwhile.
+func TestHostileSockets(t *testing.T) {
+	r := start(t, 2, standin.NodeOptions{}, func(c *config.Config) {
+		c.Rsync.Handshake = config.Duration(500 * time.Millisecond)
+		c.Rsync.Stall = config.Duration(2 * time.Second)
+	})
+	f := file("f", content(1, 20<<20))
+	r.push("", f)
+	gone := func(name string, c net.Conn, each func()) {
+		t.Helper()
+		ended := make(chan bool)
+		go func() { io.Copy(io.Discard, c); close(ended) }()
+		for {
+			select {
+			case <-ended:
+				return
+			case <-time.After(30 * time.Second):
+				t.Errorf("%s: not sent away", name)
+				return
+			default:
+				each()
+			}
+		}
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", r.gw.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	silent := dial()
+	gone("silent", silent, func() { time.Sleep(10 * time.Millisecond) })
+	slow, text := dial(), "@RSYNCD: 29\nrecords\n--server\n--sender\n-r\n--timeout=1000\n"
+	gone("a byte at a time", slow, func() {
+		if len(text) > 0 {
+			slow.Write([]byte(text[:1]))
+			text = text[1:]
+		}
+		time.Sleep(20 * time.Millisecond)
+	})
+
+	never := dial() // asks for all and never reads
+	none := "\x00\x00\x00\x00"
+	fmt.Fprint(never, "@RSYNCD: 29\nrecords\n--server\n--sender\n-r\n.\nrecords/\n\n"+none+"\x01\x00\x00\x00\x00\x80"+none+none+none+none)
+	r.until("its shedding", func() bool { return r.gw.Front().Stats().Shed >= 3 })
+	never.Close()
+
+	flood := dial() // pushes and never reads what is for it, nor ends
+	fmt.Fprint(flood, "@RSYNCD: 29\nrecords\n--server\n-r\n.\nrecords/\n\n")
+	go func() {
+		junk := make([]byte, 1<<16)
+		for {
+			if _, err := flood.Write(junk); err != nil {
+				return
+			}
+		}
+	}()
+	r.until("the flood's end", func() bool { return r.gw.Front().Stats().Conns == 0 })
+	flood.Close()
+	same(t, r.pull("f"), f)
+}
+
+// TestCorruptionIsFound: a bit that flips on a node's disk never reaches a client as
+// data.
+func TestCorruptionIsFound(t *testing.T) {
+	r := start(t, 1, standin.NodeOptions{}, nil)
+	f, g := file("f", content(1, 600_000)), file("g", []byte("good"))
+	r.push("", f, g)
+	d, _ := r.site.Disk(0)
+	e, ok, err := r.gw.Catalogue().Stat("records", "f")
+	if err != nil || !ok || !d.Flip(e.Extents()[1].Item, 12345) {
+		t.Fatalf("no extent to flip: %v", err)
+	}
+	rep, err := r.client().Pull(context.Background(), "records", "", nil)
+	if err != nil || len(rep.LeftOut) != 1 || rep.LeftOut[0] != "f" || !strings.Contains(strings.Join(rep.Said, ""), "other bytes") {
+		t.Fatalf("%v, left out %q, said %q", err, rep.LeftOut, rep.Said)
+	}
+	same(t, rep, g)
+	if r.gw.Front().Stats().Corrupt == 0 {
+		t.Error("not counted")
+	}
+}
+
+// TestModuleRules: who may enter, which way, and how many.
+func TestModuleRules(t *testing.T) {
+	secrets := filepath.Join(t.TempDir(), "secrets")
+	if err := os.WriteFile(secrets, []byte("# staff\nanna:sesame\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r := start(t, 1, standin.NodeOptions{}, func(c *config.Config) {
+		c.Modules = append(c.Modules, config.Module{Name: "staff", Plan: "standard", Users: []string{"anna"}, Secrets: secrets},
+			config.Module{Name: "one", Plan: "standard", Conns: 1}, config.Module{Name: "in", Plan: "standard", WriteOnly: true})
+	})
+	ctx := context.Background()
+	f := file("f", []byte("x"))
+	c := r.client()
+	c.User, c.Password = "anna", "sesame"
+	if rep, err := c.Push(ctx, "staff", "", []standin.ClientFile{f}); err != nil || len(rep.Said) > 0 {
+		t.Errorf("good login: %v, %q", err, rep.Said)
+	}
+	c = r.client()
+	c.User, c.Password = "anna", "wrong"
+	rep, err := c.Pull(ctx, "staff", "", nil)
+	if rep.Exit(err) != 5 || !strings.Contains(err.Error(), "auth failed on module staff") {
+		t.Errorf("wrong password: %v", err)
+	}
+	held, _ := net.Dial("tcp", r.gw.Addr())
+	fmt.Fprint(held, "@RSYNCD: 29\none\n")
+	buf := make([]byte, 100)
+	n := 0
+	for !strings.Contains(string(buf[:n]), "@RSYNCD: OK") {
+		k, err := held.Read(buf[n:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		n += k
+	}
+	rep, err = r.client().Pull(ctx, "one", "", nil)
+	if rep.Exit(err) != 5 || err.Error() != "@ERROR: max connections (1) reached -- try again later" {
+		t.Errorf("second client of a module for one: %v", err)
+	}
+	held.Close()
+	r.until("its leaving", func() bool {
+		_, err := r.client().Pull(ctx, "one", "", nil)
+		return err == nil
+	})
+	if rep, err := r.client().Pull(ctx, "in", "", nil); err == nil || len(rep.Said) != 1 || !strings.Contains(rep.Said[0], "write only") {
+		t.Errorf("pull from a write only module: %v %q", err, rep.Said)
+	}
+}
+
+// TestDrainOfTheGateway: transfers end, new clients are told to come back.
+func TestDrainOfTheGateway(t *testing.T) {
+	r := start(t, 2, standin.NodeOptions{UnitTime: 5 * time.Millisecond}, nil)
+	f := file("f", content(1, 4<<20))
+	r.push("", f)
+	idle, _ := net.Dial("tcp", r.gw.Addr())
+	ended := make(chan error, 1)
+	began := make(chan bool)
+	go func() {
+		c := r.client()
+		c.Before = func(string) { close(began) }
+		rep, err := c.Pull(context.Background(), "records", "f", nil)
+		if err == nil && len(rep.Files) != 1 {
+			err = errors.New("it did not come")
+		}
+		ended <- err
+	}()
+	<-began
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := r.gw.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("the transfer under way: %v", err)
+	}
+	if _, err := io.Copy(io.Discard, idle); err != nil && !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the idle connection: %v", err)
+	}
+	if _, err := r.client().Pull(context.Background(), "records", "f", nil); err == nil || !strings.Contains(err.Error(), "shutting down") {
+		t.Errorf("a new client: %v", err)
+	}
+	if s := r.gw.Host().Stats(); s.Answers[host.Served] == 0 {
+		t.Errorf("host: %+v", s)
+	}
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -20,6 +20,7 @@
 	"path/filepath"
 	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -205,6 +206,9 @@
 	Actions []control.Action
 }
 
+// errNoHead marks a file that was begun and not yet written to, as after a kill.
+var errNoHead = errors.New("ends before its head is whole")
+
 // Reader reads one file of a record.
 type Reader struct {
 	Header Header
@@ -219,11 +223,16 @@
 func NewReader(r io.Reader, name string) (*Reader, error) {
 	rd := &Reader{r: bufio.NewReaderSize(r, 1<<20), name: name}
 	head := make([]byte, len(magic))
-	if _, err := io.ReadFull(rd.r, head); err != nil || string(head) != magic {
+	if n, err := io.ReadFull(rd.r, head); err != nil && strings.HasPrefix(magic, string(head[:n])) {
+		return nil, fmt.Errorf("record: %s: %w", name, errNoHead)
+	} else if string(head) != magic {
 		return nil, fmt.Errorf("record: %s: begins with %q: expected %q", name, head, magic)
 	}
 	rd.at = int64(len(magic))
 	body, err := rd.frame()
+	if errors.Is(err, io.EOF) {
+		err = errNoHead
+	}
 	if err != nil {
 		return nil, fmt.Errorf("record: %s: header: %w", name, err)
 	}
@@ -361,6 +370,10 @@
 			}
 			defer f.Close()
 			r, err := NewReader(f, name)
+			if errors.Is(err, errNoHead) && i > 0 && i == len(files)-1 {
+				res.Torn = true
+				return nil
+			}
 			if err != nil {
 				return err
 			}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -125,7 +125,11 @@
 	if greeting == "" {
 		greeting = "@RSYNCD: 29"
 	}
-	if _, err := c.line(); err != nil {
+	first, err := c.line()
+	if text, bad := strings.CutPrefix(first, "@ERROR: "); bad {
+		return &DaemonError{text}
+	}
+	if err != nil {
 		return err
 	}
 	if err := c.send(greeting + "\n" + module + "\n"); err != nil {
@@ -487,7 +491,18 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return data, bytes.Equal(theirs, sum.Sum(nil)), nil
+	if bytes.Equal(theirs, sum.Sum(nil)) {
+		return data, true, nil
+	}
+	for len(c.said) == said { // why it broke off comes behind it
+		if c.frame > 0 {
+			return nil, false, errors.New("a file with a wrong sum, and no word of why")
+		}
+		if err := c.nextFrame(); err != nil {
+			return nil, false, err
+		}
+	}
+	return nil, false, nil
 }
 
 // nextFrame reads on to the next data frame, or one message further.
