--- a/internal/standin/register.go
+++ b/internal/standin/register.go
@@ -65,6 +65,13 @@
 // Close ends the register.
 func (r *Register) Close() { r.server.Close() }
 
+// Version is that of the list.
+func (r *Register) Version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
 // Set books one entry and tells all who listen.
 func (r *Register) Set(e register.Entry) {
 	r.mu.Lock()
