--- /dev/null
+++ b/cmd/eiderhold/bench_test.go
@@ -0,0 +1,319 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderhold/internal/config"
+	"eiderhold/internal/standin"
+)
+
+// benchGateway is a gateway's process before stand-in nodes in this one.
+type benchGateway struct {
+	cmd  *exec.Cmd
+	addr string
+	log  string
+}
+
+func startBench(b *testing.B, nodes int, change func(*config.Config)) *benchGateway {
+	b.Helper()
+	site, err := standin.StartSite("", nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(site.Close)
+	for i := range nodes {
+		if _, err := site.Add(standin.NodeOptions{ID: fmt.Sprintf("node-%d", i), Shard: i, Cores: 4, Queue: 1000,
+			KeyWindow: 1200 * time.Millisecond}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	cfg := config.Default()
+	cfg.Gateway.Dir, cfg.Register.URL, cfg.Rsync.Listen = "data", site.Register.URL(), "127.0.0.1:0"
+	cfg.Worth.BulkAbove = 1 << 40
+	if change != nil {
+		change(cfg)
+	}
+	text, err := cfg.Text()
+	if err != nil {
+		b.Fatal(err)
+	}
+	dir := b.TempDir()
+	file := filepath.Join(dir, "gateway.toml")
+	if err := os.WriteFile(file, text, 0o644); err != nil {
+		b.Fatal(err)
+	}
+	g := &benchGateway{log: filepath.Join(dir, "log")}
+	log, err := os.Create(g.log)
+	if err != nil {
+		b.Fatal(err)
+	}
+	g.cmd = exec.Command(os.Args[0], "serve", "--config", file)
+	g.cmd.Env = append(os.Environ(), asProgram+"=1")
+	g.cmd.Stderr = log
+	out, err := g.cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := g.cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	line, _ := bufio.NewReader(out).ReadString('\n')
+	g.addr = strings.TrimSuffix(strings.TrimPrefix(strings.TrimSpace(line), "rsync://"), "/")
+	return g
+}
+
+// stop ends the gateway and returns its last stats line.
+func (g *benchGateway) stop(b *testing.B) (stats struct {
+	Host struct {
+		Requests, Served, Refused, Failed uint64
+		Decide                            struct{ P50, P99, P999 float64 }
+	}
+	Rsync struct {
+		Deliver struct{ P50, P99, P999 float64 }
+	}
+}) {
+	b.Helper()
+	g.cmd.Process.Signal(syscall.SIGTERM)
+	g.cmd.Wait()
+	text, _ := os.ReadFile(g.log)
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, `"msg":"stats"`) {
+			if err := json.Unmarshal([]byte(line), &stats); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	return stats
+}
+
+// proc reads CPU time and resident memory of the gateway's process.
+func (g *benchGateway) proc() (cpu time.Duration, rss int64) {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", g.cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 22 {
+		return 0, 0
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	return time.Duration(user+system) * 10 * time.Millisecond, pages * int64(os.Getpagesize())
+}
+
+func (g *benchGateway) push(b *testing.B, files ...standin.ClientFile) {
+	b.Helper()
+	for try := 0; ; try++ {
+		rep, err := (&standin.Client{Addr: g.addr}).Push(context.Background(), "records", "", files)
+		if err == nil && len(rep.Said) == 0 {
+			return
+		}
+		if try == 100 {
+			b.Fatal(err, rep.Said)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// BenchmarkTransfers pulls a file of one extent over so many connections at a time; it
+// reports what the gateway adds to a request and its CPU a request.
+func BenchmarkTransfers(b *testing.B) {
+	for _, clients := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprint(clients), func(b *testing.B) {
+			g := startBench(b, 8, nil)
+			for i := range 32 {
+				g.push(b, standin.ClientFile{Path: fmt.Sprint("f", i), Data: seeded(int64(i), 16<<10), MTime: 1})
+			}
+			before, _ := g.proc()
+			b.ResetTimer()
+			var wg sync.WaitGroup
+			work := make(chan int)
+			for range clients {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for i := range work {
+						(&standin.Client{Addr: g.addr}).Pull(context.Background(), "records", fmt.Sprint("f", i%32), nil)
+					}
+				}()
+			}
+			for i := range b.N {
+				work <- i
+			}
+			close(work)
+			wg.Wait()
+			b.StopTimer()
+			after, rss := g.proc()
+			st := g.stop(b)
+			b.ReportMetric(float64((after-before).Microseconds())/float64(b.N), "cpu-us/transfer")
+			b.ReportMetric(st.Host.Decide.P50, "decide-p50-us")
+			b.ReportMetric(st.Host.Decide.P99, "decide-p99-us")
+			b.ReportMetric(st.Host.Decide.P999, "decide-p999-us")
+			b.ReportMetric(st.Rsync.Deliver.P50, "deliver-p50-us")
+			b.ReportMetric(st.Rsync.Deliver.P99, "deliver-p99-us")
+			b.ReportMetric(st.Rsync.Deliver.P999, "deliver-p999-us")
+			b.ReportMetric(float64(rss)/(1<<20), "rss-MiB")
+			b.ReportMetric(100*float64(st.Host.Refused+st.Host.Failed)/float64(max(1, st.Host.Requests)), "refused-%")
+		})
+	}
+}
+
+// plainCopy moves bytes over a loopback socket pair, as the plain alternative.
+func plainCopy(b *testing.B, conns int, bytes int64) time.Duration {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	began := time.Now()
+	var wg sync.WaitGroup
+	for range conns {
+		wg.Add(2)
+		go func() {
+			defer wg.Done()
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			buf := make([]byte, 64<<10)
+			for left := bytes; left > 0; {
+				n, err := c.Write(buf[:min(left, int64(len(buf)))])
+				if err != nil {
+					return
+				}
+				left -= int64(n)
+			}
+		}()
+		go func() {
+			defer wg.Done()
+			c, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			buf := make([]byte, 64<<10)
+			for {
+				if _, err := c.Read(buf); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	return time.Since(began)
+}
+
+// BenchmarkThroughput moves files whole, one client or a hundred, and gives the ratio to
+// a plain copy of as many bytes over as many loopback connections, taken in turn; the
+// median of the rounds.
+func BenchmarkThroughput(b *testing.B) {
+	for _, c := range []struct {
+		kind    string
+		clients int
+		bytes   int
+	}{{"pull", 1, 64 << 20}, {"pull", 100, 2 << 20}, {"push", 1, 64 << 20}, {"push", 100, 2 << 20}} {
+		b.Run(fmt.Sprintf("%s/%d", c.kind, c.clients), func(b *testing.B) {
+			g := startBench(b, 8, nil)
+			data := seeded(1, c.bytes)
+			g.push(b, standin.ClientFile{Path: "f", Data: data, MTime: 1})
+			var ratios, rates []float64
+			said := 0
+			var mu sync.Mutex
+			b.ResetTimer()
+			for n := range b.N {
+				plain := plainCopy(b, c.clients, int64(c.bytes))
+				began := time.Now()
+				var wg sync.WaitGroup
+				for i := range c.clients {
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						var rep *standin.Report
+						if c.kind == "pull" {
+							rep, _ = (&standin.Client{Addr: g.addr}).Pull(context.Background(), "records", "f", nil)
+						} else {
+							rep, _ = (&standin.Client{Addr: g.addr}).Push(context.Background(), "records", "",
+								[]standin.ClientFile{{Path: fmt.Sprintf("p%d-%d", n%2, i), Data: data, MTime: int64(n)}})
+						}
+						mu.Lock()
+						said += len(rep.Said)
+						mu.Unlock()
+					}()
+				}
+				wg.Wait()
+				took := time.Since(began)
+				ratios = append(ratios, plain.Seconds()/took.Seconds())
+				rates = append(rates, float64(c.clients*c.bytes)/took.Seconds()/(1<<20))
+			}
+			b.StopTimer()
+			slices.Sort(ratios)
+			slices.Sort(rates)
+			b.ReportMetric(ratios[len(ratios)/2], "of-plain")
+			b.ReportMetric(rates[len(rates)/2], "MiB/s")
+			b.ReportMetric(float64(said)/float64(b.N*c.clients), "left-out/transfer")
+			g.stop(b)
+		})
+	}
+}
+
+// BenchmarkMemory is the gateway's resident memory with so many idle connections, and
+// with so many transfers whose clients read slowly.
+func BenchmarkMemory(b *testing.B) {
+	b.Run("idle/1000", func(b *testing.B) {
+		g := startBench(b, 2, nil)
+		_, before := g.proc()
+		var conns []net.Conn
+		for range 1000 {
+			c, err := net.Dial("tcp", g.addr)
+			if err != nil {
+				b.Fatal(err)
+			}
+			io.ReadFull(c, make([]byte, len("@RSYNCD: 29\n")))
+			conns = append(conns, c)
+		}
+		_, with := g.proc()
+		b.ReportMetric(float64(with-before)/1000/1024, "KiB/conn")
+		b.ReportMetric(float64(with)/(1<<20), "rss-MiB")
+		for _, c := range conns {
+			c.Close()
+		}
+		g.stop(b)
+	})
+	b.Run("active/200", func(b *testing.B) {
+		g := startBench(b, 4, nil)
+		g.push(b, standin.ClientFile{Path: "f", Data: seeded(1, 16<<20), MTime: 1})
+		_, before := g.proc()
+		var wg sync.WaitGroup
+		ctx, cancel := context.WithCancel(context.Background())
+		for range 200 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				(&standin.Client{Addr: g.addr, StopRead: 5 * time.Second}).Pull(ctx, "records", "f", nil)
+			}()
+		}
+		time.Sleep(4 * time.Second) // all stand still with their windows full
+		_, with := g.proc()
+		cancel()
+		wg.Wait()
+		b.ReportMetric(float64(with-before)/200/1024, "KiB/transfer")
+		b.ReportMetric(float64(with)/(1<<20), "rss-MiB")
+		g.stop(b)
+	})
+}
--- a/cmd/eiderhold/serve.go
+++ b/cmd/eiderhold/serve.go
@@ -8,11 +8,14 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"eiderhold/control"
 	"eiderhold/internal/config"
 	"eiderhold/internal/gateway"
+	"eiderhold/internal/host"
 	"eiderhold/internal/telemetry"
 )
 
@@ -62,6 +65,9 @@
 
 // attend waits for signals and ends the gateway as they say.
 func attend(ctx context.Context, g *gateway.Gateway, cfg *config.Config, log *slog.Logger, reload func() error) error {
+	defer logStats(log, g)
+	every := time.NewTicker(statsEvery)
+	defer every.Stop()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -74,6 +80,8 @@
 				err = fmt.Errorf("the host loop ended unasked")
 			}
 			return short{err}
+		case <-every.C:
+			logStats(log, g)
 		case <-ctx.Done():
 			return g.Close()
 		case s := <-signals:
@@ -102,6 +110,31 @@
 	}
 }
 
+const statsEvery = time.Minute
+
+// logStats writes the counts since the start as one line; microseconds.
+func logStats(log *slog.Logger, g *gateway.Gateway) {
+	h, f, b, c := g.Host().Stats(), g.Front().Stats(), g.Backend().Stats(), g.Catalogue().Stats()
+	times := func(name string, t host.Times) slog.Attr {
+		return slog.Group(name, "p50", t.At(50).Microseconds(), "p99", t.At(99).Microseconds(), "p999", t.At(99.9).Microseconds())
+	}
+	results := make([]any, 0, 16)
+	for r, n := range h.Results {
+		results = append(results, host.ResultName(control.Result(r)), n)
+	}
+	log.Info("stats",
+		slog.Group("host", "requests", h.Requests, "served", h.Answers[host.Served], "refused", h.Answers[host.Refused],
+			"failed", h.Answers[host.Failed], "attempts", h.Attempts, "open", h.Open, "out", h.Out, "turns", h.Turns,
+			"full", h.Full, "late", h.Late, "left", h.Left, "defects", h.Defects, slog.Group("results", results...),
+			times("mailbox", h.Mailbox), times("decide", h.Decide), times("outcome", h.Outcome)),
+		slog.Group("rsync", "conns", f.Conns, "active", f.Active, "accepted", f.Accepted, "turned_away", f.TurnedAway,
+			"transfers", f.Transfers, "served", f.Served, "refused", f.Refused, "failed", f.Failed, "files_left_out", f.FilesLeftOut,
+			"shed", f.Shed, "paused", f.Paused, "corrupt", f.Corrupt, "buffered", f.Budget, times("deliver", f.Deliver)),
+		slog.Group("nodes", "conns", b.Conns, "dials", b.Dials, "dials_failed", b.DialsFailed, "frames", b.Frames,
+			"unwanted", b.Unwanted, "broken", b.Broken),
+		slog.Group("catalogue", "commits", c.Commits, "changes", c.Changes, "errors", c.Errors))
+}
+
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:     "version",
--- a/control/control.go
+++ b/control/control.go
@@ -385,30 +385,47 @@
 	return -r.worth - 1e-9
 }
 
-// value emulates the node over out and held requests, earliest deadline first,
-// leaving one out, and adds up what they earn.
-func (c *Controller) value(n *node, without *request) float64 {
-	at, rate, queued, sum := c.freeAt(n), c.rate(n), c.backlog(n), 0.0
-	for _, r := range n.held {
-		if r != without {
-			at += time.Duration(r.Units / rate)
-			sum += r.payoff(at) - c.bid(r, at, queued)*r.Units
+// emulation is what the emulation of a node begins with: it is the same for all that is
+// asked of it in one round.
+type emulation struct {
+	at                    time.Duration
+	rate, queued, general float64
+}
+
+func (c *Controller) emulate(n *node) emulation {
+	general := max(0, c.general()-waitFree/2*c.set.MeanUnits*c.unit.value) / float64(c.slot)
+	return emulation{c.freeAt(n), c.rate(n), c.backlog(n), general}
+}
+
+// value emulates the node over out and held requests, earliest deadline first, from the
+// i-th on, of which it leaves one out, and adds to the sum what they earn.
+func (c *Controller) value(n *node, e emulation, i int, sum float64, without bool) float64 {
+	for k, r := range n.held[i:] {
+		if k == 0 && without {
+			continue
 		}
+		e.at += time.Duration(r.Units / e.rate)
+		sum += c.earns(r, e)
 	}
 	return sum
 }
 
+// earns is what a request that ends where the emulation stands brings, less what its
+// units are worth to others.
+func (c *Controller) earns(r *request, e emulation) float64 {
+	return r.payoff(e.at) - c.bid(r, e)*r.Units
+}
+
 // bid is the worth of a unit of the node's time to others: that of a mean request, in
 // full, times the part of the tightest aim that the node's backlog takes and, to the power
 // 1.5, that of its own aim that held work takes; times it once more while nodes in general
 // have no backlog. Guards against a queue in which all come late, whatever made the node short.
 // Harm: a node that pauses refuses what is worth little although it had time for it.
-func (c *Controller) bid(r *request, end time.Duration, queued float64) float64 {
+func (c *Controller) bid(r *request, e emulation) float64 {
 	slot := float64(c.slot)
-	held := max(0, float64(end-c.now)-queued) / max(float64(r.class.Aim), slot)
-	full := min(1, queued/slot+held*math.Sqrt(held))
-	general := max(0, c.general()-waitFree/2*c.set.MeanUnits*c.unit.value) / slot
-	return full * max(full, min(2, generalFull*general)) * c.unitWorth
+	held := max(0, float64(e.at-c.now)-e.queued) / max(float64(r.class.Aim), slot)
+	full := min(1, e.queued/slot+held*math.Sqrt(held))
+	return full * max(full, min(2, generalFull*e.general)) * c.unitWorth
 }
 
 // dropOld drops what nothing can refer to any more, once in a while.
@@ -452,17 +469,20 @@
 			max(c.backlog(n), c.general()) <= c.noise(n) {
 			return
 		}
-		all := c.value(n, nil)
+		e, before := c.emulate(n), 0.0
+		all := c.value(n, e, 0, 0, false)
 		var worst *request
 		gain := 1e-9
-		for _, r := range n.held {
-			g := c.value(n, r) - all
-			if n.suspect() {
-				g = 1/(r.worth+1) + 1 // all but the one worth most
+		for i, r := range n.held {
+			g := 1/(r.worth+1) + 1 // all but the one worth most
+			if !n.suspect() {
+				g = c.value(n, e, i, before, true) - all
 			}
 			if g > gain {
 				worst, gain = r, g
 			}
+			e.at += time.Duration(r.Units / e.rate)
+			before += c.earns(r, e)
 		}
 		if worst == nil {
 			return
--- a/internal/front/rsync/front.go
+++ b/internal/front/rsync/front.go
@@ -94,13 +94,13 @@
 
 // Stats are counts since the start.
 type Stats struct {
-	Accepted, TurnedAway, Handshakes, Transfers uint64
-	Served, Refused, Failed                     uint64 // transfers by how they ended
-	FilesSent, FilesTaken, FilesLeftOut         uint64
-	BytesRead, BytesWritten                     uint64 // of extents
-	Shed, Paused, Corrupt                       uint64
-	Conns, Active                               int
-	Budget                                      int64
+	Accepted, TurnedAway, Transfers uint64
+	Served, Refused, Failed         uint64 // transfers by how they ended
+	FilesLeftOut                    uint64
+	Shed, Paused, Corrupt           uint64
+	Conns, Active                   int
+	Budget                          int64
+	Deliver                         host.Times // from an outcome's coming in to its bytes' turn at the client's loop
 }
 
 const (
@@ -154,7 +154,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.stats
-	s.Conns, s.Budget = len(f.conns), f.budget.Used()
+	s.Conns, s.Budget, s.Deliver = len(f.conns), f.budget.Used(), s.Deliver.Copy()
 	for c := range f.conns {
 		if c.active.Load() {
 			s.Active++
--- a/internal/front/rsync/transfer.go
+++ b/internal/front/rsync/transfer.go
@@ -316,6 +316,11 @@
 	}
 	p.asked = false
 	now := t.f.opt.Host.Now()
+	if a.At > 0 {
+		t.f.mu.Lock()
+		t.f.stats.Deliver.Record(now - a.At)
+		t.f.mu.Unlock()
+	}
 	kind, why := p.ended(a)
 	if a.Attempts > 0 && kind != pacing.Served {
 		p.before = why
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -82,6 +82,7 @@
 	Data       *buffer.Buffer // of a read; the receiver releases it
 	Attempts   int
 	Elapsed    time.Duration // from the mailbox to the answer
+	At         time.Duration // when its outcome came in, by the host's clock; 0: there was none
 }
 
 // Attempt is one attempt as the backend gets it.
@@ -104,6 +105,8 @@
 	Load      []float64
 	Text      string         // cause of an error
 	Data      *buffer.Buffer // of a read
+
+	at time.Duration // when it was reported
 }
 
 // Backend carries attempts to nodes. Its methods return at once and are called on
@@ -303,7 +306,10 @@
 func (h *Host) Leave(id uint64) { h.post(leave{id}) }
 
 // Ended takes the end of an attempt from the backend.
-func (h *Host) Ended(o Outcome) { h.post(o) }
+func (h *Host) Ended(o Outcome) {
+	o.at = h.clock()
+	h.post(o)
+}
 
 // Probed takes the end of a probe from the backend.
 func (h *Host) Probed(node string, result control.Result, took time.Duration, load []float64) {
@@ -487,7 +493,7 @@
 		r.cause = fmt.Sprintf("node %s: %s", a.node, cause(o))
 	}
 	if o.Result == control.Done && !r.over {
-		h.finish(r, Answer{Kind: Served, Node: a.node, Shard: o.Shard, Data: o.Data})
+		h.finish(r, Answer{Kind: Served, Node: a.node, Shard: o.Shard, Data: o.Data, At: o.at})
 		h.stats.Outcome.record(h.now - a.sentAt)
 	} else {
 		o.Data.Release()
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -367,3 +367,50 @@
 		})
 	}
 }
+
+// BenchmarkBurst is one turn that takes a thousand requests at once, at 8 nodes that
+// are busy already.
+func BenchmarkBurst(b *testing.B) {
+	e := &echo{}
+	at := time.Hour
+	h, err := New(Options{Backend: e, Clock: func() time.Duration { return at },
+		Settings: control.Settings{Hosts: 1, MaxAttempts: 4, SecondCopies: true, LoadFields: []string{"queue", "latency_ms"},
+			Classes: []control.Class{{Name: "read", Aim: 100 * ms, Deadline: time.Second, Worth: 1}}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	l := List{Kind: control.ListFull}
+	for i := range 8 {
+		l.Nodes = append(l.Nodes, Node{Node: control.Node{ID: fmt.Sprintf("n%03d", i), Shard: i}})
+	}
+	h.List(l)
+	h.turn()
+	load := []float64{0, 1}
+	drain := func() {
+		for len(e.sent) > 0 {
+			sent := e.sent
+			e.sent = nil
+			at += ms
+			for _, a := range sent {
+				h.Ended(Outcome{Ref: a.Ref, Result: control.Done, Load: load})
+			}
+			h.turn()
+		}
+	}
+	refused, asked := 0, 0
+	for range b.N {
+		for k := range 1000 {
+			h.Submit(&Request{Class: "read", Volume: "v", Item: "i", Shard: k % 8, Units: 1, Expires: time.Second,
+				Answer: func(a Answer) {
+					asked++
+					if a.Kind != Served {
+						refused++
+					}
+				}})
+		}
+		at += 2 * ms
+		h.turn()
+		drain()
+	}
+	b.ReportMetric(100*float64(refused)/float64(max(1, asked)), "refused-%")
+}
--- a/internal/host/stats.go
+++ b/internal/host/stats.go
@@ -13,6 +13,17 @@
 // Times is a histogram of durations, in microseconds, up to a minute.
 type Times struct{ h *hdrhistogram.Histogram }
 
+// Record books one duration. It is not safe for concurrent use.
+func (t *Times) Record(d time.Duration) { t.record(d) }
+
+// Copy is a copy of its own.
+func (t Times) Copy() Times {
+	if t.h == nil {
+		return t
+	}
+	return Times{hdrhistogram.Import(t.h.Export())}
+}
+
 func (t *Times) record(d time.Duration) {
 	if t.h == nil {
 		t.h = hdrhistogram.New(1, time.Minute.Microseconds(), 2)
@@ -47,9 +58,7 @@
 func (h *Host) show() {
 	s := h.stats
 	for _, t := range []*Times{&s.Mailbox, &s.Decide, &s.Outcome} {
-		if t.h != nil {
-			t.h = hdrhistogram.Import(t.h.Export())
-		}
+		*t = t.Copy()
 	}
 	s.Open, s.Out, s.Timers = len(h.reqs), len(h.out), h.wheel.Len()
 	h.statsMu.Lock()
