--- a/cmd/eiderhold/bench_test.go
+++ b/cmd/eiderhold/bench_test.go
@@ -83,7 +83,8 @@
 		Requests, Served, Refused, Failed uint64
 		Decide                            struct{ P50, P99, P999 float64 }
 	}
-	Rsync struct {
+	Memory struct{ Allocated uint64 }
+	Rsync  struct {
 		Deliver struct{ P50, P99, P999 float64 }
 	}
 }) {
@@ -317,3 +318,19 @@
 		g.stop(b)
 	})
 }
+
+// BenchmarkAllocations is what the gateway allocates a request, with small and with
+// large extents: none of it may grow with the payload.
+func BenchmarkAllocations(b *testing.B) {
+	for _, kib := range []int{16, 64, 256} {
+		b.Run(fmt.Sprintf("extent/%dKiB", kib), func(b *testing.B) {
+			g := startBench(b, 4, func(c *config.Config) { c.Rsync.Extent = kib << 10 })
+			g.push(b, standin.ClientFile{Path: "f", Data: seeded(1, 512*kib<<10), MTime: 1})
+			for range b.N {
+				(&standin.Client{Addr: g.addr}).Pull(context.Background(), "records", "f", nil)
+			}
+			st := g.stop(b)
+			b.ReportMetric(float64(st.Memory.Allocated)/float64(st.Host.Requests), "alloc-B/request")
+		})
+	}
+}
--- a/cmd/eiderhold/kill_test.go
+++ b/cmd/eiderhold/kill_test.go
@@ -255,3 +255,38 @@
 		t.Errorf("without its beginning: status %d: %s", status, out)
 	}
 }
+
+// TestSecondSignalEndsAtOnce: a transfer that will not end keeps the first one waiting.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	site, file := siteAndSettings(t, nil)
+	cmd, addr := serveProcess(t, file)
+	f := standin.ClientFile{Path: "f", Data: seeded(1, 4<<20), MTime: 1}
+	for try := 0; ; try++ {
+		if rep, err := (&standin.Client{Addr: addr}).Push(context.Background(), "records", "", []standin.ClientFile{f}); err == nil && len(rep.Said) == 0 {
+			break
+		} else if try == 200 {
+			t.Fatal(err, rep.Said)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, id := range site.IDs() {
+		site.Node(id).Set(func(x *standin.Trouble) { x.Hang = true })
+	}
+	began := make(chan bool)
+	go (&standin.Client{Addr: addr, Before: func(string) { close(began) }}).Pull(context.Background(), "records", "f", nil)
+	<-began
+	cmd.Process.Signal(syscall.SIGTERM)
+	closed := func() bool { // the first signal was taken: new clients are sent away
+		rep, err := (&standin.Client{Addr: addr}).Pull(context.Background(), "records", "", nil)
+		return rep.Exit(err) == 5
+	}
+	for limit := time.Now().Add(20 * time.Second); !closed(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("the first signal was not taken")
+		}
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); cmd.ProcessState.ExitCode() != exitShort {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/cmd/eiderhold/serve.go
+++ b/cmd/eiderhold/serve.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -122,7 +123,10 @@
 	for r, n := range h.Results {
 		results = append(results, host.ResultName(control.Result(r)), n)
 	}
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
 	log.Info("stats",
+		slog.Group("memory", "heap", mem.HeapAlloc, "allocated", mem.TotalAlloc, "from_system", mem.Sys),
 		slog.Group("host", "requests", h.Requests, "served", h.Answers[host.Served], "refused", h.Answers[host.Refused],
 			"failed", h.Answers[host.Failed], "attempts", h.Attempts, "open", h.Open, "out", h.Out, "turns", h.Turns,
 			"full", h.Full, "late", h.Late, "left", h.Left, "defects", h.Defects, slog.Group("results", results...),
--- a/internal/front/rsync/front.go
+++ b/internal/front/rsync/front.go
@@ -51,6 +51,7 @@
 	Pacing      pacing.Settings
 	Modules     []Module
 	MOTD        string
+	Seed        int64 // of the transfers' pauses
 	ExtentBytes int
 	MaxConns    int           // connections at a time
 	MaxFiles    int           // entries of a file list
@@ -78,6 +79,7 @@
 	budget   pacing.Budget
 	hungry   map[*conn]bool // wait for room in the budget
 	draining bool
+	seeds    uint64
 	parting  int // clients that were turned away and have not gone
 	stats    Stats
 
@@ -420,6 +422,14 @@
 	return binary.LittleEndian.Uint32(b[:]) | 1
 }
 
+// nextSeed is a seed for a transfer's pacing.
+func (f *Front) nextSeed() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds++
+	return uint64(f.opt.Seed) + f.seeds
+}
+
 func (w *gateway) Secret(module, user string) (string, bool) {
 	w.f.mu.Lock()
 	defer w.f.mu.Unlock()
--- a/internal/front/rsync/transfer.go
+++ b/internal/front/rsync/transfer.go
@@ -39,7 +39,7 @@
 func newTransfer(c *conn, m *Module, what proto.Transfer) *transfer {
 	f := c.f
 	t := &transfer{c: c, f: f, m: m, what: what, began: f.opt.Host.Now(), unpin: f.opt.Catalogue.Pin(),
-		pace: pacing.New(f.opt.Pacing, time.Duration(what.Timeout)*time.Second, float64(what.BWLimit)*1024),
+		pace: pacing.New(f.opt.Pacing, time.Duration(what.Timeout)*time.Second, float64(what.BWLimit)*1024, f.nextSeed()),
 		out:  map[*piece]bool{}, writes: map[*writer]bool{}, booked: map[string]proto.File{}}
 	c.transfer = t
 	return t
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,7 +110,7 @@
 	go func() { defer g.wg.Done(); g.feed.Run(ctx) }()
 	r := &cfg.Rsync
 	if g.rs, err = front.Start(front.Options{Listen: r.Listen, Loops: r.Loops, Host: g.host, Catalogue: g.cat,
-		Classes: set.Classes, Work: cfg.Work(), Pacing: cfg.PacingSettings(), Modules: modules, MOTD: r.MOTD,
+		Classes: set.Classes, Work: cfg.Work(), Pacing: cfg.PacingSettings(), Modules: modules, MOTD: r.MOTD, Seed: seed,
 		ExtentBytes: r.Extent, MaxConns: r.Conns, MaxFiles: r.Files, Budget: r.Budget, Handshake: r.Handshake.D(),
 		Stall: r.Stall.D(), Log: log}); err != nil {
 		return err
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 )
 
@@ -58,16 +59,18 @@
 	shards   map[int]time.Duration // shards with an extent given up, until when
 	inRow    int                   // files left out without one served between
 
+	rng   *rand.Rand
 	rate  float64 // bytes a second; 0: no limit
 	owed  float64 // bytes beyond the rate
 	count time.Duration
 }
 
 // New begins a transfer. timeout is the client's own (0: none), rate its limit in
-// bytes a second (0: none).
-func New(set Settings, timeout time.Duration, rate float64) *Transfer {
+// bytes a second (0: none). The seed keeps transfers that were refused together from
+// coming back together.
+func New(set Settings, timeout time.Duration, rate float64, seed uint64) *Transfer {
 	t := &Transfer{set: set, patience: set.Patience, window: float64(set.WindowStart),
-		shards: map[int]time.Duration{}, rate: rate}
+		shards: map[int]time.Duration{}, rate: rate, rng: rand.New(rand.NewPCG(seed, 0))}
 	if timeout > 0 {
 		t.patience = min(t.patience, time.Duration(set.TimeoutPart*float64(timeout)))
 	}
@@ -160,10 +163,12 @@
 }
 
 // firstPause is the part of the patience that passes at least before the second try;
-// each further pause is twice as long. Guards against hints so short that all tries are
-// used up while the trouble has not moved. Harm: a refusal that only meant a few
-// milliseconds costs more of them.
-const firstPause = 16
+// each further pause is twice as long, and each is drawn out by up to as much again.
+// Guards against hints so short that all tries are used up while the trouble has not
+// moved, and against a thousand transfers that are refused at once, come back at once,
+// and are refused again. Harm: a refusal that only meant a few milliseconds costs more
+// of them.
+const firstPause = 32
 
 // Ended books the end of a try. retryAfter is what a refusal asked for.
 func (t *Transfer) Ended(x *Extent, now time.Duration, kind Kind, retryAfter time.Duration) Next {
@@ -179,10 +184,11 @@
 		t.window = max(1, t.window/2)
 		t.halvedAt = now
 	}
-	at := now + t.patience/firstPause<<(x.tries-1)
+	pause := t.patience / firstPause << (x.tries - 1)
 	if kind == Refused {
-		at = max(at, now+retryAfter)
+		pause = max(pause, retryAfter)
 	}
+	at := now + pause + time.Duration(t.rng.Int64N(int64(pause)+1))
 	tries := t.set.Tries
 	if until, bad := t.shards[x.Shard]; bad && now < until {
 		tries = 1
