A client waiting for memory is told in its own time; readers finish on their version

Cause: an extent for which there was no room in the budget had no time of its own yet, so its client could have waited past its timeout while others stood still on all the memory.

Change: an extent that a client waits for and that finds no room is given up after the transfer's patience, with a word of why. Starts of nodes remembered are bounded. Tests: twelve clients that stand still on a budget of four extents, a file replaced and collected under its reader. Benchmark of bystanders.

--- a/cmd/eiderhold/bench_test.go
+++ b/cmd/eiderhold/bench_test.go
@@ -27,6 +27,7 @@
 	cmd  *exec.Cmd
 	addr string
 	log  string
+	site *standin.Site
 }
 
 func startBench(b *testing.B, nodes int, change func(*config.Config)) *benchGateway {
@@ -57,7 +58,7 @@
 	if err := os.WriteFile(file, text, 0o644); err != nil {
 		b.Fatal(err)
 	}
-	g := &benchGateway{log: filepath.Join(dir, "log")}
+	g := &benchGateway{site: site, log: filepath.Join(dir, "log")}
 	log, err := os.Create(g.log)
 	if err != nil {
 		b.Fatal(err)
@@ -334,3 +335,88 @@
 		})
 	}
 }
+
+// BenchmarkBystanders is the time of 500 pulls of small files, 20 at a time, with and
+// without trouble that is not theirs: a client of a 64 MiB file that stands still, and a
+// transfer of 64 MiB from a node that never answers. Rounds with and without take turns;
+// the ratio is of the medians of their 99th percentiles.
+func BenchmarkBystanders(b *testing.B) {
+	for _, trouble := range []string{"standing-client", "silent-node"} {
+		b.Run(trouble, func(b *testing.B) {
+			g := startBench(b, 4, nil)
+			state := func(others, last string) {
+				for i := range 3 {
+					g.site.State(fmt.Sprintf("node-%d", i), others)
+				}
+				g.site.State("node-3", last)
+				time.Sleep(300 * time.Millisecond) // for the news to reach the gateway
+			}
+			state("draining", "ready")
+			g.push(b, standin.ClientFile{Path: "big", Data: seeded(1, 64<<20), MTime: 1})
+			state("ready", "draining")
+			for i := range 16 {
+				g.push(b, standin.ClientFile{Path: fmt.Sprint("f", i), Data: seeded(int64(i), 100_000), MTime: 1})
+			}
+			state("ready", "ready")
+			round := func() (p50, p99 float64) {
+				var mu sync.Mutex
+				var took []float64
+				var wg sync.WaitGroup
+				work := make(chan int)
+				for range 20 {
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						for i := range work {
+							began := time.Now()
+							(&standin.Client{Addr: g.addr}).Pull(context.Background(), "records", fmt.Sprint("f", i%16), nil)
+							mu.Lock()
+							took = append(took, float64(time.Since(began).Microseconds()))
+							mu.Unlock()
+						}
+					}()
+				}
+				for i := range 500 {
+					work <- i
+				}
+				close(work)
+				wg.Wait()
+				slices.Sort(took)
+				return took[250], took[495]
+			}
+			round()
+			var without, with [2][]float64
+			for range b.N {
+				p50, p99 := round()
+				without[0], without[1] = append(without[0], p50), append(without[1], p99)
+				ctx, cancel := context.WithCancel(context.Background())
+				var wg sync.WaitGroup
+				wg.Add(1)
+				began := make(chan bool)
+				c := &standin.Client{Addr: g.addr, Timeout: 10 * time.Second, Before: func(string) { close(began) }}
+				if trouble == "standing-client" {
+					c.StopRead = time.Minute
+				} else {
+					g.site.Node("node-3").Set(func(x *standin.Trouble) { x.Hang = true })
+				}
+				go func() { defer wg.Done(); c.Pull(ctx, "records", "big", nil) }()
+				<-began
+				time.Sleep(100 * time.Millisecond)
+				p50, p99 = round()
+				with[0], with[1] = append(with[0], p50), append(with[1], p99)
+				cancel()
+				g.site.Node("node-3").Set(func(x *standin.Trouble) { x.Hang = false })
+				if trouble != "standing-client" {
+					wg.Wait()
+				}
+			}
+			median := func(list []float64) float64 { slices.Sort(list); return list[len(list)/2] }
+			b.ReportMetric(median(without[0]), "p50-us-without")
+			b.ReportMetric(median(with[0]), "p50-us-with")
+			b.ReportMetric(median(without[1]), "p99-us-without")
+			b.ReportMetric(median(with[1]), "p99-us-with")
+			b.ReportMetric(median(with[1])/median(without[1]), "p99-ratio")
+			g.stop(b)
+		})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -255,19 +255,8 @@
 		}
 		c.Modules = nil // they must be named: a file that is empty, or cut off, is not the default
 	}
-	d := toml.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(c); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			return nil, fmt.Errorf("%s: no such key; eiderhold config default shows all:\n%s", name, strict.String())
-		}
-		var at *toml.DecodeError
-		if errors.As(err, &at) {
-			row, col := at.Position()
-			return nil, fmt.Errorf("%s:%d:%d: %w", name, row, col, err)
-		}
-		return nil, fmt.Errorf("%s: %w", name, err)
+	if err := Strict(text, name, c); err != nil {
+		return nil, err
 	}
 	if err := c.Check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
@@ -275,6 +264,26 @@
 	return c, nil
 }
 
+// Strict reads TOML into a value. A key that the value has no place for is an error, and
+// each error names its place.
+func Strict(text []byte, name string, into any) error {
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	var strict *toml.StrictMissingError
+	var at *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &strict):
+		return fmt.Errorf("%s: no such key:\n%s", name, strict.String())
+	case errors.As(err, &at):
+		row, col := at.Position()
+		return fmt.Errorf("%s:%d:%d: %w", name, row, col, err)
+	}
+	return fmt.Errorf("%s: %w", name, err)
+}
+
 // Load reads a file. Relative folders and files in it are taken from where it lies.
 func Load(file string) (*Config, error) {
 	text, err := os.ReadFile(file)
--- a/internal/front/rsync/transfer.go
+++ b/internal/front/rsync/transfer.go
@@ -163,6 +163,7 @@
 	bytes   int64
 	class   string
 	needed  bool // the session waits for it
+	bounded bool // how long it may wait for the budget
 	booked  bool // in the budget
 	id      uint64
 	asked   bool // a request is with the host
@@ -221,6 +222,7 @@
 			return
 		}
 		if !p.booked && !t.book(p) {
+			t.bound(p)
 			return
 		}
 		t.wanted = t.wanted[1:]
@@ -230,6 +232,21 @@
 	}
 }
 
+// bound sees to it that a piece which a client waits for, and for which there is no
+// room in the budget, does not keep it waiting past its time.
+func (t *transfer) bound(p *piece) {
+	if !p.needed || p.bounded {
+		return
+	}
+	p.bounded = true
+	t.f.after(t.f.opt.Host.Now()+t.pace.Patience(), t.c, func() {
+		if p.x == nil && !p.gone && !t.ended {
+			t.refused++
+			p.end(&GivenUp{Refused: true, Why: "no room for it in rsync.buffer_bytes", Back: time.Second})
+		}
+	})
+}
+
 // book takes a piece's bytes from the budget of all transfers.
 func (t *transfer) book(p *piece) bool {
 	holds := t.holds
--- a/internal/gateway/hard_test.go
+++ b/internal/gateway/hard_test.go
@@ -499,3 +499,75 @@
 		t.Errorf("host: %+v", s)
 	}
 }
+
+// TestReaderOfTheOldVersion: a file is replaced while it is being read, and what was
+// replaced is due for collection; the reader finishes on the version that it began.
+func TestReaderOfTheOldVersion(t *testing.T) {
+	r := start(t, 2, standin.NodeOptions{}, func(c *config.Config) { c.Rsync.Stall = config.Duration(time.Minute) })
+	old, fresh := file("f", content(1, 64<<20)), file("f", content(2, 300_000))
+	fresh.MTime++
+	r.push("", old)
+	began, ended := make(chan bool), make(chan error, 1)
+	go func() {
+		c := r.client()
+		c.StopRead = 5 * time.Second // longer than the collector waits
+		c.Before = func(string) { close(began) }
+		rep, err := c.Pull(context.Background(), "records", "f", nil)
+		if err == nil && (len(rep.Files) != 1 || blake3.Sum256(rep.Files[0].Data) != blake3.Sum256(old.Data)) {
+			err = fmt.Errorf("%d files, said %q", len(rep.Files), rep.Said)
+		}
+		ended <- err
+	}()
+	<-began
+	r.push("", fresh)
+	same(t, r.pull("f"), fresh)
+	if err := <-ended; err != nil {
+		t.Errorf("the reader of the old version: %v", err)
+	}
+	r.until("collection of the old version", func() bool {
+		a, _ := r.site.Disk(0)
+		b, _ := r.site.Disk(1)
+		return a.Items()+b.Items() == 2
+	})
+}
+
+// TestBudgetOfAllTransfers: clients that stand still hold all the memory that extents
+// may take. Another client is served or told within its own time, and memory is given
+// back in the end.
+func TestBudgetOfAllTransfers(t *testing.T) {
+	r := start(t, 2, standin.NodeOptions{}, func(c *config.Config) {
+		c.Rsync.Budget = 4 * int64(c.Rsync.Extent)
+	})
+	big, small := file("big", content(1, 32<<20)), file("small", content(2, 200_000))
+	r.push("", big, small)
+	var wg sync.WaitGroup
+	for range 12 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := r.client()
+			c.StopRead = 6 * time.Second
+			rep, err := c.Pull(context.Background(), "records", "big", nil)
+			if err == nil && len(rep.LeftOut) == 0 && (len(rep.Files) != 1 || blake3.Sum256(rep.Files[0].Data) != blake3.Sum256(big.Data)) {
+				t.Errorf("one that stood still has %d files, said %q", len(rep.Files), rep.Said)
+			}
+			if err != nil || len(rep.LeftOut) > 0 && !told(rep) {
+				t.Errorf("one that stood still: %v, left out %q, said %q", err, rep.LeftOut, rep.Said)
+			}
+		}()
+	}
+	r.until("the memory to be taken", func() bool { return r.gw.Front().Stats().Budget >= 3*int64(r.cfg.Rsync.Extent) })
+	for range 5 {
+		c := r.client()
+		c.Timeout = 3 * time.Second
+		rep, err := c.Pull(context.Background(), "records", "small", nil)
+		if err != nil || len(rep.Files) == 0 && !told(rep) {
+			t.Errorf("another client: %v, said %q after %v", err, rep.Said, rep.Took)
+		}
+		if b := r.gw.Front().Stats().Budget; b > r.cfg.Rsync.Budget {
+			t.Errorf("%d bytes are held, %d may be", b, r.cfg.Rsync.Budget)
+		}
+	}
+	wg.Wait()
+	r.until("the budget's return", func() bool { return r.gw.Front().Stats().Budget == 0 })
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -31,6 +32,7 @@
 	mostMargin  = 20 * time.Millisecond // see margin
 	marginPart  = 10                    // of the client's time
 	defaultOpen = 100_000               // requests open at once
+	startsMost  = 10_000                // starts of nodes remembered before those of long ago are dropped
 )
 
 // ErrFull says that the host has as many requests open as it may. The answer at
@@ -677,6 +679,12 @@
 		return s.at
 	}
 	at := max(0, h.clock()-max(0, time.Since(wall)))
+	if at == 0 {
+		return 0 // long ago stays long ago
+	}
+	if len(h.started) >= startsMost {
+		maps.DeleteFunc(h.started, func(_ string, s start) bool { return time.Since(s.wall) > ClockBase })
+	}
 	h.started[node] = start{wall, at}
 	return at
 }
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -4,7 +4,6 @@
 package rehearsal
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -13,8 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"eiderhold/internal/config"
 )
 
@@ -78,7 +75,7 @@
 var Kinds = []string{"burst", "deploy", "hang", "vanish", "slow", "heavy_tail", "neighbour", "pauses", "fast_errors",
 	"discovery_down", "discovery_stale", "reconnect", "balancer_stall", "answer_lost", "give_up", "kill"}
 
-// Load reads and checks a script.
+// LoadDay reads and checks a script.
 func LoadDay(file string) (*Day, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -90,19 +87,8 @@
 // ParseDay reads and checks a script's text.
 func ParseDay(text []byte, name string) (*Day, error) {
 	d := &Day{}
-	dec := toml.NewDecoder(bytes.NewReader(text))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(d); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			return nil, fmt.Errorf("%s: no such key:\n%s", name, strict.String())
-		}
-		var at *toml.DecodeError
-		if errors.As(err, &at) {
-			row, col := at.Position()
-			return nil, fmt.Errorf("%s:%d:%d: %w", name, row, col, err)
-		}
-		return nil, fmt.Errorf("%s: %w", name, err)
+	if err := config.Strict(text, name, d); err != nil {
+		return nil, err
 	}
 	if err := d.Check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -105,6 +105,10 @@
 	return true, 0
 }
 
+// Patience is how long an extent may take over all its tries, and how long one that a
+// client waits for may be kept from its first.
+func (t *Transfer) Patience() time.Duration { return t.patience }
+
 // Window is the number of extents that may be asked for at a time.
 func (t *Transfer) Window() int { return int(t.window) }
 
