--- /dev/null
+++ b/cmd/eiderhold/shares.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"eiderhold/internal/config"
+	"eiderhold/shares"
+)
+
+func sharesCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "shares",
+		Short: "Work out placement and shares ahead",
+		Long: `Work out which nodes are to hold which volumes, and what part of each node every volume is
+due. Values are exact: micro-worth times milli-units times the denominator of spare_worth.`,
+	}
+	c.AddCommand(sharesCheck(), sharesSolve(), sharesEvaluate())
+	return c
+}
+
+// loadProblem reads a problem strictly and checks it whole.
+func loadProblem(file string) (*shares.Problem, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("shares: %w", err)
+	}
+	p := &shares.Problem{}
+	if err := config.Strict(text, file, p); err != nil {
+		return nil, err
+	}
+	if err := p.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return p, nil
+}
+
+func sharesCheck() *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE.toml", Short: "Check a problem's file", Args: cobra.ExactArgs(1),
+		Example: "  eiderhold shares check fleet.toml",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			p, err := loadProblem(args[0])
+			if err != nil {
+				return short{err}
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: good: %d volumes, %d nodes\n", args[0], len(p.Volumes), len(p.Nodes))
+			return nil
+		},
+	}
+}
+
+func sharesSolve() *cobra.Command {
+	var exact bool
+	var steps int
+	var output string
+	c := &cobra.Command{
+		Use:   "solve FILE.toml --exact",
+		Short: "Find the placement of the highest value",
+		Long: `Find the placement of the highest value; among equals the least one, volumes and nodes by id.
+Only the exact search is there yet, which suits a few volumes and nodes.
+Exit status: 0 found, 1 there is none or the steps were used up, 2 the file cannot be used.`,
+		Example: "  eiderhold shares solve fleet.toml --exact --output json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkOutput(output); err != nil {
+				return err
+			}
+			if !exact {
+				return fmt.Errorf("shares solve: only the exact search is there yet: add --exact")
+			}
+			if steps < 0 {
+				return fmt.Errorf("--steps %d: 0 for no bound, or more", steps)
+			}
+			p, err := loadProblem(args[0])
+			if err != nil {
+				return err
+			}
+			a, err := shares.Exact(p, steps)
+			if errors.Is(err, shares.ErrNone) {
+				if output == "json" {
+					return errors.Join(json.NewEncoder(cmd.OutOrStdout()).Encode(map[string]any{"feasible": false}), short{err})
+				}
+				return short{err}
+			}
+			if a != nil {
+				err = errors.Join(showAnswer(cmd.OutOrStdout(), p, a, err == nil, output), err)
+			}
+			if errors.Is(err, shares.ErrSteps) {
+				return short{err}
+			}
+			return err
+		},
+	}
+	c.Flags().BoolVar(&exact, "exact", false, "search exactly")
+	c.Flags().IntVar(&steps, "steps", 0, "placements of single volumes tried at most; 0: no bound")
+	c.Flags().StringVar(&output, "output", "text", "text or json")
+	return c
+}
+
+func sharesEvaluate() *cobra.Command {
+	var output string
+	c := &cobra.Command{
+		Use:   "evaluate FILE.toml ANSWER.json",
+		Short: "Value a placement",
+		Long: `Value a placement: JSON with "placement": {volume: [node ids]}, as solve writes it.
+Exit status: 0 valued, 1 the placement breaks a constraint, 2 a file cannot be used.`,
+		Example: "  eiderhold shares evaluate fleet.toml answer.json",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkOutput(output); err != nil {
+				return err
+			}
+			p, err := loadProblem(args[0])
+			if err != nil {
+				return err
+			}
+			text, err := os.ReadFile(args[1])
+			if err != nil {
+				return fmt.Errorf("shares: %w", err)
+			}
+			var answer struct {
+				Placement map[string][]string `json:"placement"`
+			}
+			if err := json.Unmarshal(text, &answer); err != nil {
+				return fmt.Errorf("%s: %w", args[1], err)
+			}
+			a, err := shares.Evaluate(p, answer.Placement)
+			if errors.As(err, new(*shares.Infeasible)) {
+				return short{err}
+			}
+			if err != nil {
+				return err
+			}
+			return showAnswer(cmd.OutOrStdout(), p, a, false, output)
+		},
+	}
+	c.Flags().StringVar(&output, "output", "text", "text or json")
+	return c
+}
+
+// showAnswer prints an answer. best says that its value is proven to be the highest.
+func showAnswer(w io.Writer, p *shares.Problem, a *shares.Answer, best bool, output string) error {
+	if output == "json" {
+		byVolume := map[string]map[string]int64{}
+		for _, x := range a.Parts {
+			if byVolume[x.Volume] == nil {
+				byVolume[x.Volume] = map[string]int64{}
+			}
+			byVolume[x.Volume][x.Node] = x.Share
+		}
+		out := map[string]any{"value": a.Value, "placement": a.Placement, "shares": byVolume, "feasible": true, "moves": a.Moves}
+		if best {
+			out["bound"] = a.Value
+		}
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(out)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "volume\tnode\tdemand\tshare\tspare\tunmet")
+	load := map[string]int64{}
+	for _, x := range a.Parts {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\n", x.Volume, x.Node, x.Demand, x.Share, x.Spare, x.Demand-x.Share-x.Spare)
+		load[x.Node] += x.Share + x.Spare
+	}
+	fmt.Fprintln(t, "\nnode\tcapacity\tsent")
+	nodes := append([]shares.Node(nil), p.Nodes...)
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i].ID < nodes[j].ID })
+	for _, n := range nodes {
+		fmt.Fprintf(t, "%s\t%d\t%d\n", n.ID, n.Capacity, load[n.ID])
+	}
+	t.Flush()
+	proven := ""
+	if best {
+		proven = ", the highest there is"
+	}
+	_, err := fmt.Fprintf(w, "\nvalue %v%s; %d moves\n", a.Value, proven, a.Moves)
+	return err
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -129,7 +129,7 @@
 	Files     int      `toml:"files" comment:"Entries of one file list, at most."`
 	Budget    int64    `toml:"buffer_bytes" comment:"Bytes of extents held over all transfers; at it, transfers wait."`
 	Handshake Duration `toml:"handshake" comment:"A client that has not begun its transfer by then is sent away."`
-	Stall     Duration `toml:"stall" comment:"A connection on which nothing moves for so long is closed."`
+	Stall     Duration `toml:"stall" comment:"A connection on which nothing moves for so long is closed. A client that reads a large file of its own may be silent for long."`
 }
 
 // Pacing is pacing.Settings.
@@ -207,7 +207,7 @@
 		Worth: Worth{UnitBytes: 64 << 10, MeanUnits: 2, MostUnits: 6, Read: "record-read", Bulk: "bulk-export",
 			BulkAbove: 8 << 20, Write: "record-write", Collect: "collect"},
 		Rsync: Rsync{Listen: "127.0.0.1:8730", Loops: 2, MOTD: "", Extent: 256 << 10, Conns: 4000, Files: 1_000_000,
-			Budget: 512 << 20, Handshake: Duration(20 * time.Second), Stall: Duration(time.Minute)},
+			Budget: 512 << 20, Handshake: Duration(20 * time.Second), Stall: Duration(5 * time.Minute)},
 		Pacing: Pacing{Tries: p.Tries, Patience: Duration(p.Patience), TimeoutPart: p.TimeoutPart, Least: Duration(p.Least),
 			WindowStart: p.WindowStart, WindowTop: p.WindowTop, ShardPause: Duration(p.ShardPause), LeaveOut: p.LeaveOut},
 		Recorder: Recorder{FileSize: 64 << 20, Files: 4},
--- a/internal/front/rsync/conn.go
+++ b/internal/front/rsync/conn.go
@@ -50,6 +50,8 @@
 	shutWrite bool
 }
 
+const turnMost = 8 // times a session goes on before others have their turn
+
 const partTime = 2 * time.Second // a connection whose session is over is closed after it
 
 func newConn(f *Front, g gnet.Conn) *conn {
@@ -154,14 +156,19 @@
 }
 
 // turn feeds the session what has come, and the client what is for it, as long as
-// either goes on.
+// either goes on, but no longer than a few times: one client with much to do must not
+// keep the loop from the others.
 func (c *conn) turn() gnet.Action {
 	if c.dead || c.inTurn {
 		return gnet.None
 	}
 	c.inTurn = true
 	defer func() { c.inTurn = false }()
-	for {
+	for i := 0; ; i++ {
+		if i == turnMost { // others of this loop have their turn
+			c.post(func() {})
+			break
+		}
 		went := c.feed()
 		if c.output() {
 			went = true
