shares solve for any size: construct by room, small changes, and a bound

Change: Search constructs a placement by room left, puts volumes out where one does not fit, and tries changes that do not make the whole worse; deterministic by seed and steps, with an upper bound (each volume alone, or all nodes as one).

--- a/cmd/eiderhold/shares.go
+++ b/cmd/eiderhold/shares.go
@@ -60,47 +60,59 @@
 func sharesSolve() *cobra.Command {
 	var exact bool
 	var steps int
+	var seed uint64
 	var output string
 	c := &cobra.Command{
-		Use:   "solve FILE.toml --exact",
-		Short: "Find the placement of the highest value",
-		Long: `Find the placement of the highest value; among equals the least one, volumes and nodes by id.
-Only the exact search is there yet, which suits a few volumes and nodes.
-Exit status: 0 found, 1 there is none or the steps were used up, 2 the file cannot be used.`,
-		Example: "  eiderhold shares solve fleet.toml --exact --output json",
-		Args:    cobra.ExactArgs(1),
+		Use:   "solve FILE.toml",
+		Short: "Find a placement of high value, or with --exact the highest",
+		Long: `Find a placement of high value, with an upper bound that none passes. The same file, seed and
+steps give the same answer; more steps never a lower value. With --exact the highest is found;
+among equals the least one, volumes and nodes by id. That suits a few volumes and nodes.
+Exit status: 0 found, 1 none was found or the steps were used up, 2 the file cannot be used.`,
+		Example: "  eiderhold shares solve fleet.toml --steps 100000 --output json\n" +
+			"  eiderhold shares solve small.toml --exact",
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := checkOutput(output); err != nil {
 				return err
 			}
-			if !exact {
-				return fmt.Errorf("shares solve: only the exact search is there yet: add --exact")
-			}
 			if steps < 0 {
-				return fmt.Errorf("--steps %d: 0 for no bound, or more", steps)
+				return fmt.Errorf("--steps %d: 0 or more", steps)
 			}
 			p, err := loadProblem(args[0])
 			if err != nil {
 				return err
 			}
-			a, err := shares.Exact(p, steps)
-			if errors.Is(err, shares.ErrNone) {
-				if output == "json" {
-					return errors.Join(json.NewEncoder(cmd.OutOrStdout()).Encode(map[string]any{"feasible": false}), short{err})
+			var found *shares.Found
+			if exact {
+				if !cmd.Flags().Changed("steps") {
+					steps = 0
 				}
-				return short{err}
+				var a *shares.Answer
+				if a, err = shares.Exact(p, steps); a != nil {
+					found = &shares.Found{Answer: a, Bound: a.Value}
+					if err != nil { // out of steps: nothing is proven
+						found.Bound = shares.Bound(p)
+					}
+				}
+			} else {
+				found, err = shares.Search(p, shares.Options{Seed: seed, Steps: steps})
 			}
-			if a != nil {
-				err = errors.Join(showAnswer(cmd.OutOrStdout(), p, a, err == nil, output), err)
+			if found == nil {
+				if output == "json" && (errors.Is(err, shares.ErrNone) || errors.Is(err, shares.ErrNotFound)) {
+					err = errors.Join(json.NewEncoder(cmd.OutOrStdout()).Encode(map[string]any{"feasible": false}), err)
+				}
+				return short{err}
 			}
-			if errors.Is(err, shares.ErrSteps) {
+			if err = errors.Join(showAnswer(cmd.OutOrStdout(), p, found, output), err); err != nil {
 				return short{err}
 			}
-			return err
+			return nil
 		},
 	}
 	c.Flags().BoolVar(&exact, "exact", false, "search exactly")
-	c.Flags().IntVar(&steps, "steps", 0, "placements of single volumes tried at most; 0: no bound")
+	c.Flags().IntVar(&steps, "steps", 20_000, "changes tried; with --exact placements of single volumes, 0 for no bound")
+	c.Flags().Uint64Var(&seed, "seed", 1, "of the search; the exact one has none")
 	c.Flags().StringVar(&output, "output", "text", "text or json")
 	return c
 }
@@ -139,15 +151,15 @@
 			if err != nil {
 				return err
 			}
-			return showAnswer(cmd.OutOrStdout(), p, a, false, output)
+			return showAnswer(cmd.OutOrStdout(), p, &shares.Found{Answer: a, Bound: shares.Bound(p)}, output)
 		},
 	}
 	c.Flags().StringVar(&output, "output", "text", "text or json")
 	return c
 }
 
-// showAnswer prints an answer. best says that its value is proven to be the highest.
-func showAnswer(w io.Writer, p *shares.Problem, a *shares.Answer, best bool, output string) error {
+// showAnswer prints an answer with its bound.
+func showAnswer(w io.Writer, p *shares.Problem, a *shares.Found, output string) error {
 	if output == "json" {
 		byVolume := map[string]map[string]int64{}
 		for _, x := range a.Parts {
@@ -156,10 +168,8 @@
 			}
 			byVolume[x.Volume][x.Node] = x.Share
 		}
-		out := map[string]any{"value": a.Value, "placement": a.Placement, "shares": byVolume, "feasible": true, "moves": a.Moves}
-		if best {
-			out["bound"] = a.Value
-		}
+		out := map[string]any{"value": a.Value, "bound": a.Bound, "placement": a.Placement, "shares": byVolume,
+			"feasible": true, "moves": a.Moves}
 		e := json.NewEncoder(w)
 		e.SetIndent("", "  ")
 		return e.Encode(out)
@@ -178,8 +188,8 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\n", n.ID, n.Capacity, load[n.ID])
 	}
 	t.Flush()
-	proven := ""
-	if best {
+	proven := fmt.Sprintf(", none is above %v", a.Bound)
+	if a.Bound == a.Value {
 		proven = ", the highest there is"
 	}
 	_, err := fmt.Fprintf(w, "\nvalue %v%s; %d moves\n", a.Value, proven, a.Moves)
--- a/cmd/eiderhold/shares_test.go
+++ b/cmd/eiderhold/shares_test.go
@@ -51,7 +51,9 @@
 		{`spread = 2`, `spred = 2`, []string{"--exact"}, exitNot, "spred"},
 		{`"9/10"`, `"0.9"`, []string{"--exact"}, exitNot, "write it like 9/10"},
 		{`state = "ready"`, `state = "asleep"`, []string{"--exact"}, exitNot, "ready, draining or gone"},
-		{`spread = 2`, `spread = 2`, nil, exitNot, "add --exact"},
+		{`forbid = ["n1"]`, `require = ["n1", "n2"]`, nil, exitShort, "no placement was found"},
+		{`spread = 2`, `spread = 2`, []string{"--steps", "-1"}, exitNot, "0 or more"},
+		{`spread = 2`, `spread = 2`, []string{"--steps", "5000"}, exitDone, "none is above"},
 	} {
 		if err := os.WriteFile(changed, []byte(strings.Replace(string(text), c.from, c.to, 1)), 0o644); err != nil {
 			t.Fatal(err)
