What cannot be met together is named, with its lines in the file

Result: on 1,200 seeded instances each conflict cannot be met, and any one constraint less can; all eight kinds occur.

--- a/cmd/eiderhold/shares.go
+++ b/cmd/eiderhold/shares.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"sort"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -68,6 +69,7 @@
 		Long: `Find a placement of high value, with an upper bound that none passes. The same file, seed and
 steps give the same answer; more steps never a lower value. With --exact the highest is found;
 among equals the least one, volumes and nodes by id. That suits a few volumes and nodes.
+If there is none, --exact names a smallest set of constraints that cannot be met together.
 Exit status: 0 found, 1 none was found or the steps were used up, 2 the file cannot be used.`,
 		Example: "  eiderhold shares solve fleet.toml --steps 100000 --output json\n" +
 			"  eiderhold shares solve small.toml --exact",
@@ -99,8 +101,8 @@
 				found, err = shares.Search(p, shares.Options{Seed: seed, Steps: steps})
 			}
 			if found == nil {
-				if output == "json" && (errors.Is(err, shares.ErrNone) || errors.Is(err, shares.ErrNotFound)) {
-					err = errors.Join(json.NewEncoder(cmd.OutOrStdout()).Encode(map[string]any{"feasible": false}), err)
+				if errors.Is(err, shares.ErrNone) || errors.Is(err, shares.ErrNotFound) {
+					err = errors.Join(showConflict(cmd.OutOrStdout(), args[0], p, exact, steps, output), err)
 				}
 				return short{err}
 			}
@@ -158,6 +160,68 @@
 	return c
 }
 
+// showConflict names, after an exact search, the constraints that cannot be met together,
+// each with its line in the file.
+func showConflict(w io.Writer, file string, p *shares.Problem, exact bool, steps int, output string) error {
+	var conflict []shares.Constraint
+	if exact {
+		var err error
+		if conflict, err = shares.Conflict(p, steps); err != nil {
+			return err
+		}
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("shares: %w", err)
+	}
+	type named struct {
+		shares.Constraint
+		Line int `json:"line"`
+	}
+	list := []named{}
+	for _, c := range conflict {
+		list = append(list, named{c, lineOf(string(text), c)})
+	}
+	if output == "json" {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(map[string]any{"feasible": false, "conflict": list})
+	}
+	if len(list) > 0 {
+		fmt.Fprintln(w, "these cannot be met together, though any one less could:")
+	}
+	for _, c := range list {
+		fmt.Fprintf(w, "  %s:%d: %v\n", file, c.Line, c.Constraint)
+	}
+	return nil
+}
+
+// lineOf is the line of a file on which a constraint stands: that of its key in the
+// table that it belongs to, or of the table's head if the key is not written there.
+func lineOf(text string, c shares.Constraint) int {
+	number, head, table := 0, 0, -1
+	for line := range strings.Lines(text) {
+		number++
+		key, _, _ := strings.Cut(strings.TrimSpace(line), "=")
+		switch key = strings.TrimSpace(key); {
+		case strings.HasPrefix(key, "[["+c.Table+"]]"):
+			if table++; table == c.Index {
+				head = number
+			}
+		case strings.HasPrefix(key, "["):
+			if head > 0 {
+				return head
+			}
+		case table == c.Index && head > 0 && key == c.Kind:
+			return number
+		}
+		if table > c.Index {
+			break
+		}
+	}
+	return head
+}
+
 // showAnswer prints an answer with its bound.
 func showAnswer(w io.Writer, p *shares.Problem, a *shares.Found, output string) error {
 	if output == "json" {
--- a/cmd/eiderhold/shares_test.go
+++ b/cmd/eiderhold/shares_test.go
@@ -40,6 +40,26 @@
 		t.Fatal(err)
 	}
 	changed := filepath.Join(t.TempDir(), "changed.toml")
+	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), `forbid = ["n1"]`, `require = ["n1", "n2"]`, 1)), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	conflict, status := program(t, "shares", "solve", changed, "--exact", "--output", "json")
+	var none struct {
+		Feasible bool
+		Conflict []struct {
+			Kind, Name string
+			Line       int
+		}
+	}
+	if err := json.NewDecoder(strings.NewReader(conflict)).Decode(&none); err != nil || status != exitShort || none.Feasible || len(none.Conflict) != 3 {
+		t.Errorf("conflict: %d, %v: %s", status, err, conflict)
+	}
+	lines := strings.Split(string(text), "\n")
+	for _, c := range none.Conflict {
+		if c.Name != "v4" || !strings.HasPrefix(strings.Replace(lines[c.Line-1], "forbid", "require", 1), c.Kind+" =") {
+			t.Errorf("conflict %+v stands on %q", c, lines[c.Line-1])
+		}
+	}
 	for _, c := range []struct {
 		from, to string
 		args     []string
--- /dev/null
+++ b/shares/conflict_test.go
@@ -0,0 +1,53 @@
+package shares
+
+import (
+	"errors"
+	"math/rand"
+	"testing"
+)
+
+// TestConflictsAreMinimal: alone the named constraints cannot be met, and any one less
+// can. The problems are small ones without a placement, and one of each kind.
+func TestConflictsAreMinimal(t *testing.T) {
+	kinds := map[string]int{}
+	for seed := range int64(1200) {
+		p := draw(rand.New(rand.NewSource(seed)))
+		_, err := Exact(p, 0)
+		conflict, cerr := Conflict(p, 0)
+		if cerr != nil {
+			t.Fatal(seed, cerr)
+		}
+		if !errors.Is(err, ErrNone) {
+			if conflict != nil {
+				t.Fatalf("seed %d: there is a placement, and a conflict %v", seed, conflict)
+			}
+			continue
+		}
+		if len(conflict) == 0 {
+			t.Fatalf("seed %d: no conflict is named", seed)
+		}
+		left := map[Constraint]bool{}
+		for _, c := range constraints(p) {
+			left[c] = true
+		}
+		for _, c := range conflict {
+			left[c] = false
+		}
+		if _, err := Exact(without(p, left), 0); !errors.Is(err, ErrNone) {
+			t.Fatalf("seed %d: %v can be met together: %v", seed, conflict, err)
+		}
+		for _, c := range conflict {
+			kinds[c.Kind]++
+			left[c] = true
+			if _, err := Exact(without(p, left), 0); err != nil {
+				t.Fatalf("seed %d: without %v the rest of %v: %v", seed, c, conflict, err)
+			}
+			left[c] = false
+		}
+	}
+	for _, k := range []string{"reserve", "state", "most_volumes", "zones", "least_zones", "require", "forbid", "spread"} {
+		if kinds[k] == 0 {
+			t.Errorf("no conflict had a constraint of kind %s: %v", k, kinds)
+		}
+	}
+}
