File lists of all transfers have one ceiling; a push cut in its sums gives memory back

Cause: reading the whole change again. A list of a million files holds half a GiB, and its ceiling was for each transfer; extents read for the block sums of an old version were not given back when the push was cut there.

Change: rsync.files bounds the entries of all transfers together, and at it a transfer ends with a word; the generator's reader is closed however the session ends.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -126,7 +126,7 @@
 	MOTD      string   `toml:"motd" comment:"Greets every client. Re-read at SIGHUP, with the modules."`
 	Extent    int      `toml:"extent_bytes" comment:"Files are cut into extents of this size."`
 	Conns     int      `toml:"connections" comment:"Clients at a time; more are turned away as rsync does."`
-	Files     int      `toml:"files" comment:"Entries of one file list, at most."`
+	Files     int      `toml:"files" comment:"Entries of file lists held over all transfers, about half a KiB each; at it a transfer ends with a word."`
 	Budget    int64    `toml:"buffer_bytes" comment:"Bytes of extents held over all transfers; at it, transfers wait."`
 	Handshake Duration `toml:"handshake" comment:"A client that has not begun its transfer by then is sent away."`
 	Stall     Duration `toml:"stall" comment:"A connection on which nothing moves for so long is closed. A client that reads a large file of its own may be silent for long."`
--- a/internal/front/rsync/conn.go
+++ b/internal/front/rsync/conn.go
@@ -26,6 +26,7 @@
 	session  *proto.Session
 	transfer *transfer
 	module   string // entered; empty: none
+	listed   int    // entries of file lists booked, under the front\'s lock
 	active   atomic.Bool
 	began    time.Duration
 
@@ -384,6 +385,7 @@
 	f.mu.Lock()
 	delete(f.conns, c)
 	delete(f.hungry, c)
+	f.listed -= c.listed
 	if c.module != "" {
 		if f.entered[c.module]--; f.entered[c.module] == 0 {
 			delete(f.entered, c.module)
--- a/internal/front/rsync/front.go
+++ b/internal/front/rsync/front.go
@@ -54,7 +54,7 @@
 	Seed        int64 // of the transfers' pauses
 	ExtentBytes int
 	MaxConns    int           // connections at a time
-	MaxFiles    int           // entries of a file list
+	MaxFiles    int           // entries of file lists, over all transfers
 	Budget      int64         // bytes of extents held over all transfers
 	Handshake   time.Duration // time for all before a transfer
 	Stall       time.Duration // a connection on which nothing moves for so long is closed
@@ -80,6 +80,7 @@
 	hungry   map[*conn]bool // wait for room in the budget
 	draining bool
 	seeds    uint64
+	listed   int // entries of file lists that all connections hold
 	parting  int // clients that were turned away and have not gone
 	stats    Stats
 
@@ -460,6 +461,18 @@
 
 func (w *gateway) MaxFiles() int { return w.f.opt.MaxFiles }
 
+func (w *gateway) Listed(n int) bool {
+	f := w.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listed > 0 && f.listed+n > f.opt.MaxFiles {
+		return false
+	}
+	f.listed += n
+	w.c.listed += n
+	return true
+}
+
 func (w *gateway) Begin(t proto.Transfer) (proto.Tree, error) {
 	f := w.f
 	f.mu.Lock()
--- a/internal/gateway/hard_test.go
+++ b/internal/gateway/hard_test.go
@@ -120,6 +120,7 @@
 		r.push(dir, fresh...)
 		same(t, r.pull(dir), fresh...)
 	}
+	r.until("the budget's return", func() bool { return r.gw.Front().Stats().Budget == 0 })
 	r.until("collection of what was left behind", func() bool {
 		n := 0
 		for i := range 3 {
--- a/internal/rsync/fake_test.go
+++ b/internal/rsync/fake_test.go
@@ -22,6 +22,8 @@
 	slow    int // how often a reader says "not yet" before it has bytes
 	bad     map[string]error
 	open    int // readers that are open
+	listed  int // entries booked, and how many may be
+	all     int
 }
 
 type memFile struct {
@@ -52,6 +54,7 @@
 func (m *memory) Challenge() string { return "challenge" }
 func (m *memory) Seed() uint32      { return 12345 }
 func (m *memory) MaxFiles() int     { return m.most }
+func (m *memory) Listed(n int) bool { m.listed += n; return m.listed <= m.all || m.all == 0 }
 func (m *memory) Secret(_, user string) (string, bool) {
 	s, ok := m.secrets[user]
 	return s, ok
--- a/internal/rsync/receiver.go
+++ b/internal/rsync/receiver.go
@@ -31,6 +31,11 @@
 		fail("destination: %v", err)
 	}
 	s.phase = "transfer"
+	defer func() {
+		if r.basis != nil { // what it holds is given back
+			r.basis.reader.Close()
+		}
+	}()
 	s.idle = r.generate
 	r.take()
 	for !r.settled() {
@@ -94,10 +99,7 @@
 		if !more {
 			break
 		}
-		if len(r.list) >= s.gw.MaxFiles() {
-			s.say(msgError, "eiderhold: more than %d files in one transfer; send the tree in parts", s.gw.MaxFiles())
-			fail("file list: more than %d entries", s.gw.MaxFiles())
-		}
+		s.listed(len(r.list))
 		r.list = append(r.list, f)
 	}
 	if !s.opt.numericIDs {
--- a/internal/rsync/rsync.go
+++ b/internal/rsync/rsync.go
@@ -93,6 +93,9 @@
 	Enter(module string) (limit int, ok bool) // takes one of the module's connections
 	Begin(Transfer) (Tree, error)
 	MaxFiles() int // entries of a file list
+	// Listed books so many more entries of file lists that this session holds; false if
+	// all sessions together would hold more than they may.
+	Listed(n int) bool
 }
 
 // Transfer says what a client has asked for once its options are known.
@@ -121,6 +124,20 @@
 	End(err error) // the transfer is over
 }
 
+const listStep = 500 // entries of a file list booked at a time
+
+// listed books the next entry of a list that has so many.
+func (s *Session) listed(have int) {
+	if have >= s.gw.MaxFiles() {
+		s.say(msgError, "eiderhold: more than %d files in one transfer; take the tree in parts", s.gw.MaxFiles())
+		fail("file list: more than %d entries", s.gw.MaxFiles())
+	}
+	if have%listStep == 0 && !s.gw.Listed(listStep) {
+		s.say(msgError, "eiderhold: file lists of all transfers together are too long at the moment; come back later, or take the tree in parts")
+		fail("file list: after %d entries all transfers together hold as many as they may (rsync.files)", have)
+	}
+}
+
 // ErrEnd marks an error of a Reader or a Pending after which the whole transfer ends,
 // not only its file.
 var ErrEnd = errors.New("the transfer ends")
--- a/internal/rsync/sender.go
+++ b/internal/rsync/sender.go
@@ -68,10 +68,7 @@
 		if name != "." && rules.leavesOut(name, f.IsDir()) {
 			return false
 		}
-		if len(list) >= s.gw.MaxFiles() {
-			s.say(msgError, "eiderhold: more than %d files in one transfer; fetch the tree in parts", s.gw.MaxFiles())
-			fail("file list: more than %d entries", s.gw.MaxFiles())
-		}
+		s.listed(len(list))
 		seen[name] = true
 		s.writeEntry(coder, &f, name, top)
 		s.room()
--- a/internal/rsync/session_test.go
+++ b/internal/rsync/session_test.go
@@ -280,6 +280,25 @@
 	}
 }
 
+// TestListsOfAllTransfers: at the ceiling over all of them a list ends with a word, on
+// either way.
+func TestListsOfAllTransfers(t *testing.T) {
+	for _, in := range [][]byte{cat(pullHead, le(0)), cat(pushHead, bytes.Repeat(cat(64, le(1), "f", le(0), le(1), le(int32(typeFile|0o644))), 700))} {
+		m := newMemory()
+		m.all = 500
+		for i := range 600 {
+			m.add(fmt.Sprintf("f%03d", i), typeFile|0o644, "")
+		}
+		s, out := talk(m, in, 4096)
+		_, said := frames(t, out)
+		if over, err := s.Over(); !over || err == nil || !strings.Contains(err.Error(), "rsync.files") ||
+			len(said) != 1 || !strings.Contains(said[0], "come back later") {
+			t.Errorf("over %v, %v, said %q", over, err, said)
+		}
+		s.Close(errStopped)
+	}
+}
+
 // TestKeepAliveIsNoRequest: protocol 29 sends the number behind the last file.
 func TestKeepAliveIsNoRequest(t *testing.T) {
 	m := newMemory()
