--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -311,16 +311,26 @@
 }
 
 // echo answers every attempt at the next turn.
-type echo struct {
-	h    *Host
-	sent []Attempt
-}
+type echo struct{ sent []Attempt }
 
 func (e *echo) Send(a Attempt) { e.sent = append(e.sent, a) }
 func (e *echo) Drop(uint64)    {}
 func (e *echo) Probe(string)   {}
 func (e *echo) Nodes([]Node)   {}
 
+// answerAll answers what was sent, and what is sent upon it, a millisecond a round.
+func (e *echo) answerAll(h *Host, at *time.Duration) {
+	for len(e.sent) > 0 {
+		sent := e.sent
+		e.sent = nil
+		*at += ms
+		for _, a := range sent {
+			h.Ended(Outcome{Ref: a.Ref, Result: control.Done, Load: []float64{0, 1}})
+		}
+		h.turn()
+	}
+}
+
 // BenchmarkDecide is what one host loop decides: a request in, an attempt out, its
 // outcome in, the answer out, with 64 requests in a batch and so many nodes.
 func BenchmarkDecide(b *testing.B) {
@@ -334,7 +344,6 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			e.h = h
 			l := List{Kind: control.ListFull}
 			for i := range nodes {
 				l.Nodes = append(l.Nodes, Node{Node: control.Node{ID: fmt.Sprintf("n%03d", i), Shard: i}})
@@ -343,7 +352,6 @@
 			h.turn()
 			answered := 0
 			done := func(Answer) { answered++ }
-			load := []float64{0, 1}
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := 0; i < b.N; i += 64 {
@@ -353,15 +361,7 @@
 				}
 				at += 2 * ms
 				h.turn()
-				for len(e.sent) > 0 {
-					sent := e.sent
-					e.sent = nil
-					at += ms
-					for _, a := range sent {
-						h.Ended(Outcome{Ref: a.Ref, Result: control.Done, Load: load})
-					}
-					h.turn()
-				}
+				e.answerAll(h, &at)
 			}
 			b.ReportMetric(float64(answered)/b.Elapsed().Seconds(), "requests/s")
 		})
@@ -385,18 +385,6 @@
 	}
 	h.List(l)
 	h.turn()
-	load := []float64{0, 1}
-	drain := func() {
-		for len(e.sent) > 0 {
-			sent := e.sent
-			e.sent = nil
-			at += ms
-			for _, a := range sent {
-				h.Ended(Outcome{Ref: a.Ref, Result: control.Done, Load: load})
-			}
-			h.turn()
-		}
-	}
 	refused, asked := 0, 0
 	for range b.N {
 		for k := range 1000 {
@@ -410,7 +398,7 @@
 		}
 		at += 2 * ms
 		h.turn()
-		drain()
+		e.answerAll(h, &at)
 	}
 	b.ReportMetric(100*float64(refused)/float64(max(1, asked)), "refused-%")
 }
