A live host: HTTP/1.1 in front and behind on one event loop, the same module deciding

Need: the platform runs hosts that speak its HTTP/1.1 protocol and are told by a configuration file; the product spoke rsync and its own frames only.

eiderhold live puts together: internal/http1 (strict parser and writer, no sockets), internal/loop (one gnet loop for all connections, so that no state of front or pool takes a lock), internal/front/http, internal/backend/http with connpool (which connection carries an attempt) and headroom (descriptors and memory by owner, which client goes), internal/discovery (the watch), internal/live (configuration, signals). Host requests may carry the message as it came.

Seen: gnet sends what is buffered as it closes a connection, so a given-up request is shut down first; and its accept ends the engine on a lack of descriptors, so accepting is done beside it, within the budget.

--- /dev/null
+++ b/cmd/eiderhold/live.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"eiderhold/internal/live"
+	"eiderhold/internal/telemetry"
+)
+
+func liveCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "live",
+		Short: "Run the platform's host: HTTP/1.1 in front and behind, all else off",
+		Long: `Run one host of the platform. BALANCER_CONFIG names its configuration; name, listening
+address and discovery's address may come from BALANCER_NAME, BALANCER_LISTEN and
+BALANCER_DISCOVERY instead. It needs no writable folder. SIGHUP reads the configuration
+again and follows discovery to its new address; SIGTERM answers all that was taken, ends
+connections as they are answered, and exits with 0.`,
+		Example: "  BALANCER_CONFIG=/run/balancer/config.json eiderhold live",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			signals := live.Signals()
+			cfg, err := live.Load(os.Getenv)
+			if err != nil {
+				return err
+			}
+			log, _, err := telemetry.Logger(os.Stderr, "info")
+			if err != nil {
+				return err
+			}
+			log = log.With("host", cfg.Name)
+			l, err := live.Start(cfg, log)
+			if err != nil {
+				return err
+			}
+			if err := l.Attend(signals, func() (*live.Config, error) { return live.Load(os.Getenv) }); err != nil {
+				return short{err}
+			}
+			return nil
+		},
+	}
+}
--- a/cmd/eiderhold/main.go
+++ b/cmd/eiderhold/main.go
@@ -35,7 +35,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(devCommand(), serveCommand(), configCommand(), versionCommand(),
-		rehearseCommand(), auditCommand(), replayCommand(), nodeCommand(), registerCommand(), sharesCommand(), spaceCommand(), mapCommand())
+		rehearseCommand(), auditCommand(), replayCommand(), nodeCommand(), registerCommand(), sharesCommand(), spaceCommand(), mapCommand(), liveCommand())
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
--- /dev/null
+++ b/internal/backend/http/backend.go
@@ -0,0 +1,453 @@
+// Package http carries attempts to storage nodes that speak HTTP/1.1, one request at a time on a
+// connection, and reports how each ended. It chooses no node and repeats nothing; which connection carries
+// an attempt, and when one is opened or closed, connpool says. Its caller is the host (Send, Drop, Nodes);
+// it answers through Host.Ended. All its state belongs to one event loop.
+//
+// What an outcome proves: Unreachable is reported only of attempts whose last byte was not handed to the
+// kernel, Busy only of a whole answer that says Not-Started. Whatever else happens after the last byte was
+// handed over may have run.
+package http
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"eiderhold/connpool"
+	"eiderhold/control"
+	"eiderhold/internal/host"
+	"eiderhold/internal/http1"
+	"eiderhold/internal/loop"
+)
+
+const (
+	waitingMost = 1024                   // attempts that wait for a connection, a node
+	lookEvery   = 250 * time.Millisecond // for idle connections
+)
+
+// Settings bound what the backend opens.
+type Settings struct {
+	Conns       int           // connections at a time, all nodes
+	Idle        time.Duration // nodes close connections that have idled for so long
+	DialTimeout time.Duration
+	Service     string   // the Host field of requests
+	LoadFields  []string // names of the values of a load report, in the order in which the host takes them
+}
+
+// Owner hears of outcomes: the host.
+type Owner interface {
+	Ended(host.Outcome)
+	Probed(node string, result control.Result, took time.Duration, load []float64)
+}
+
+// Backend is the set of connections.
+type Backend struct {
+	set    Settings
+	owner  Owner
+	log    *slog.Logger
+	loop   *loop.Loop
+	ctx    context.Context
+	cancel context.CancelFunc
+	began  time.Time
+
+	// the rest belongs to the loop
+	pool  *connpool.Pool[*conn]
+	nodes map[string]*node
+	tries map[uint64]*try
+	stats Stats
+	ended bool
+}
+
+// Stats are counts since the start; Conns and Out are of now.
+type Stats struct {
+	Dials, DialsFailed, Written, Answers, Spoilt, Excess, Stale, Given uint64
+	Conns, Out, Waiting                                                int
+}
+
+type node struct {
+	id, addr string
+	listed   bool
+	waiting  []*try
+	rung     bool // a timer for resting connections runs
+}
+
+type try struct {
+	host.Attempt
+	at   time.Time
+	conn *conn // nil: waits
+}
+
+// New makes a backend on a loop.
+func New(set Settings, l *loop.Loop, log *slog.Logger) *Backend {
+	b := &Backend{set: set, loop: l, log: log, began: time.Now(), nodes: map[string]*node{}, tries: map[uint64]*try{},
+		pool: connpool.New[*conn](connpool.Settings{Total: set.Conns, Idle: set.Idle})}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	go l.Every(b.ctx, lookEvery, b.look)
+	return b
+}
+
+// Own names the owner. It must be called before the first Send.
+func (b *Backend) Own(o Owner) { b.owner = o }
+
+// Close opens nothing any more; the connections end with the loop.
+func (b *Backend) Close() {
+	b.cancel()
+	b.loop.Do(func() { b.ended = true })
+}
+
+// Stats has f called, on the loop, with the counts.
+func (b *Backend) Stats(f func(Stats)) {
+	b.loop.Do(func() {
+		s := b.stats
+		s.Conns, s.Out = b.pool.Total(), len(b.tries)
+		for _, n := range b.nodes {
+			s.Waiting += len(n.waiting)
+		}
+		f(s)
+	})
+}
+
+// Out has f called, on the loop, with how many attempts are out at a node on connections, and how many wait.
+func (b *Backend) Out(id string, f func(out, waiting int)) {
+	b.loop.Do(func() {
+		out, _, _ := b.pool.Count(id)
+		waiting := 0
+		if n := b.nodes[id]; n != nil {
+			waiting = len(n.waiting)
+		}
+		f(out, waiting)
+	})
+}
+
+func (b *Backend) now() time.Duration { return time.Since(b.began) }
+
+// Nodes takes the nodes that are listed now. Connections to others, and to former addresses, are closed
+// when what is out on them has ended.
+func (b *Backend) Nodes(list []host.Node) {
+	list = slices.Clone(list)
+	b.loop.Do(func() {
+		for _, n := range b.nodes {
+			n.listed = false
+		}
+		for _, l := range list {
+			n := b.nodes[l.ID]
+			if n == nil {
+				n = &node{id: l.ID}
+				b.nodes[l.ID] = n
+			}
+			n.addr, n.listed = l.Addr, true
+		}
+		b.look()
+	})
+}
+
+// look closes what has idled too long, and forgets nodes that are neither listed nor in use.
+func (b *Backend) look() {
+	old := b.pool.Old(b.now(), func(id string) bool { n := b.nodes[id]; return n != nil && n.listed })
+	for _, c := range old {
+		c.pooled = false
+		b.loop.Close(c.g)
+	}
+	for id, n := range b.nodes {
+		if busy, idle, opening := b.pool.Count(id); !n.listed && len(n.waiting)+busy+idle+opening == 0 {
+			delete(b.nodes, id)
+		}
+	}
+}
+
+// Probe is for nodes that can be asked how they are; these cannot.
+func (b *Backend) Probe(id string) { b.owner.Probed(id, control.NotSent, 0, nil) }
+
+// Send hands an attempt to a connection, or has it wait for one.
+func (b *Backend) Send(a host.Attempt) {
+	t := &try{Attempt: a, at: time.Now()}
+	b.loop.Do(func() { b.send(t) })
+}
+
+func (b *Backend) send(t *try) {
+	n := b.nodes[t.Node]
+	if n == nil || !n.listed || b.ended || t.Request.Message == nil {
+		b.report(t, host.Outcome{Result: control.NotSent, Text: "the node is not listed"})
+		return
+	}
+	if len(n.waiting) >= waitingMost {
+		b.report(t, host.Outcome{Result: control.NotSent,
+			Text: fmt.Sprintf("%d attempts wait for a connection to the node already", waitingMost)})
+		return
+	}
+	b.tries[t.Ref] = t
+	n.waiting = append(n.waiting, t)
+	b.serve(n, true)
+}
+
+// serve gives connections to attempts that wait, in their order. more says that the last one has just come,
+// and that a connection may be opened for it.
+func (b *Backend) serve(n *node, more bool) {
+	for len(n.waiting) > 0 && !b.ended {
+		before := len(n.waiting) - 1
+		if !more {
+			before = 1 << 30 // those that wait have had one opened, or there was no room
+		}
+		c, v := b.pool.Take(b.now(), n.id, before)
+		switch v {
+		case connpool.Use:
+			c.busy = true
+			if c.stale() {
+				b.stats.Stale++
+				b.loop.Close(c.g)
+				continue
+			}
+			t := n.waiting[0]
+			n.waiting = slices.Delete(n.waiting, 0, 1)
+			c.hand(t)
+			continue
+		case connpool.Evict:
+			c.pooled = false
+			b.loop.Close(c.g)
+			b.open(n)
+		case connpool.Open:
+			b.open(n)
+		}
+		b.wakeAt(n)
+		return
+	}
+}
+
+// wakeAt serves the node's attempts again when a resting connection may be used.
+func (b *Backend) wakeAt(n *node) {
+	at, ok := b.pool.Due(n.id)
+	if !ok || n.rung || len(n.waiting) == 0 {
+		return
+	}
+	n.rung = true
+	time.AfterFunc(max(0, at-b.now()), func() {
+		b.loop.Do(func() {
+			n.rung = false
+			b.serve(n, false)
+		})
+	})
+}
+
+// open opens one more connection to a node, in a goroutine of its own.
+func (b *Backend) open(n *node) {
+	b.stats.Dials++
+	c := &conn{b: b, node: n, addr: n.addr}
+	go func() {
+		d := net.Dialer{Timeout: b.set.DialTimeout, KeepAlive: -1}
+		raw, err := d.DialContext(b.ctx, "tcp", c.addr)
+		if err == nil {
+			err = b.loop.Add(raw, c)
+		}
+		if err != nil {
+			b.loop.Do(func() { b.failed(n, err) })
+		}
+	}()
+}
+
+// failed books a dial that came to nothing: the attempt that has waited longest never left.
+func (b *Backend) failed(n *node, err error) {
+	b.stats.DialsFailed++
+	b.pool.Failed(n.id)
+	if b.ended || len(n.waiting) == 0 || errors.Is(err, context.Canceled) {
+		return
+	}
+	if _, idle, opening := b.pool.Count(n.id); len(n.waiting) <= idle+opening {
+		return
+	}
+	t := n.waiting[0]
+	n.waiting = slices.Delete(n.waiting, 0, 1)
+	b.report(t, host.Outcome{Result: control.Unreachable, Text: err.Error()})
+}
+
+// Drop gives up an attempt whose answer is no longer wanted: its connection is closed.
+func (b *Backend) Drop(ref uint64) {
+	b.loop.Do(func() {
+		t := b.tries[ref]
+		if t == nil {
+			return
+		}
+		delete(b.tries, ref)
+		if t.conn == nil {
+			if n := b.nodes[t.Node]; n != nil {
+				n.waiting = slices.DeleteFunc(n.waiting, func(w *try) bool { return w == t })
+			}
+			return
+		}
+		b.stats.Given++
+		t.conn.try = nil
+		t.conn.cut()
+		b.loop.Close(t.conn.g)
+	})
+}
+
+// report ends an attempt.
+func (b *Backend) report(t *try, o host.Outcome) {
+	delete(b.tries, t.Ref)
+	o.Ref, o.Shard = t.Ref, control.AnyShard
+	b.owner.Ended(o)
+}
+
+// conn is one connection to a node.
+type conn struct {
+	b      *Backend
+	node   *node
+	addr   string
+	g      gnet.Conn
+	pooled bool // the pool has it
+	busy   bool // in the pool's books
+	gone   bool
+	try    *try // out on it
+	handed handed
+	answer answer
+}
+
+// handed is how far a request has come towards the kernel.
+type handed int
+
+const (
+	nothing handed = iota
+	partly
+	whole
+)
+
+// Opened makes it available.
+func (c *conn) Opened(g gnet.Conn) {
+	c.g, c.pooled = g, true
+	c.b.pool.Opened(c.b.now(), c.node.id, c)
+	c.b.serve(c.node, false)
+}
+
+// stale says that an idle connection has ended, or has bytes that nobody asked for: what is written to
+// the one might have run, what is read from the other would be taken for an answer.
+func (c *conn) stale() bool {
+	var p [1]byte
+	n, _, err := unix.Recvfrom(c.g.Fd(), p[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n > 0 || err != unix.EAGAIN || c.addr != c.node.addr
+}
+
+// hand writes the attempt's request.
+func (c *conn) hand(t *try) {
+	m := t.Request.Message
+	c.try, t.conn = t, c
+	c.handed, c.answer = nothing, answer{in: c.answer.in[:0]}
+	left := max(1, (t.Left - time.Since(t.at)).Milliseconds())
+	p := make([]byte, 0, 256+len(m.Target)+len(m.Body))
+	p = http1.AppendRequestLine(p, m.Method, m.Target)
+	p = http1.AppendField(p, "Host", c.b.set.Service)
+	p = http1.AppendField(p, "Request-Id", m.ID)
+	if m.Key != "" {
+		p = http1.AppendField(p, "Idempotency-Key", m.Key)
+	}
+	p = http1.AppendInt(p, "Request-Timeout-Ms", left)
+	if len(m.Body) > 0 || m.Method != "GET" {
+		p = http1.AppendInt(p, "Content-Length", int64(len(m.Body)))
+	}
+	p = append(http1.AppendEnd(p), m.Body...)
+	if _, err := c.g.Write(p); err != nil {
+		return // Closed has reported it: not one byte was taken
+	}
+	if c.gone {
+		return
+	}
+	c.b.stats.Written++
+	c.handed = whole
+	if c.g.OutboundBuffered() > 0 {
+		c.handed = partly
+	}
+}
+
+// Traffic takes bytes of an answer.
+func (c *conn) Traffic(g gnet.Conn) gnet.Action {
+	p, err := g.Next(-1)
+	if err != nil || c.gone {
+		return gnet.None
+	}
+	if c.try == nil { // more than belongs to the last answer, or noise
+		c.b.stats.Excess++
+		return gnet.Close
+	}
+	done, err := c.answer.feed(p)
+	switch {
+	case err != nil:
+		c.b.stats.Spoilt++
+		c.over(host.Outcome{Result: control.Error, Text: "spoilt answer: " + err.Error()})
+	case !done:
+		return gnet.None
+	default:
+		c.b.stats.Answers++
+		c.over(c.answer.outcome(c.b.set.LoadFields))
+		if c.answer.reusable && g.OutboundBuffered() == 0 && c.addr == c.node.addr && c.node.listed && !c.b.ended {
+			c.rest()
+			return gnet.None
+		}
+	}
+	c.cut()
+	return gnet.Close
+}
+
+// over ends the attempt that is out.
+func (c *conn) over(o host.Outcome) {
+	t := c.try
+	c.try = nil
+	c.b.report(t, o)
+}
+
+// rest puts the connection back.
+func (c *conn) rest() {
+	c.busy = false
+	c.b.pool.Done(c.b.now(), c.node.id, c)
+	c.b.wakeAt(c.node)
+	if c.b.pool.Total() >= c.b.set.Conns {
+		c.b.retry() // it may make room for another node's
+	}
+}
+
+// cut sees to it that what was not written yet does not follow: gnet sends it as it closes.
+func (c *conn) cut() {
+	if c.g.OutboundBuffered() > 0 {
+		_ = unix.Shutdown(c.g.Fd(), unix.SHUT_RDWR)
+	}
+}
+
+// Closed reports what was out, and books the end of the connection.
+func (c *conn) Closed(g gnet.Conn, err error) {
+	c.gone = true
+	b := c.b
+	if c.pooled {
+		if c.busy {
+			b.pool.Ended(c.node.id)
+		} else {
+			b.pool.Lost(c.node.id, c)
+		}
+	}
+	if t := c.try; t != nil && !b.ended {
+		c.try = nil
+		text := "connection closed"
+		if err != nil {
+			text = err.Error()
+		}
+		o := host.Outcome{Result: control.Reset, Text: text}
+		if c.handed == nothing || c.handed == partly && g.OutboundBuffered() > 0 {
+			o.Result = control.Unreachable
+			_ = unix.Shutdown(g.Fd(), unix.SHUT_RDWR) // nor may the rest follow
+		}
+		b.report(t, o)
+	}
+	b.retry()
+}
+
+// retry serves attempts that found the ceiling reached: a place has come free.
+func (b *Backend) retry() {
+	for _, n := range b.nodes {
+		if _, idle, opening := b.pool.Count(n.id); len(n.waiting) > idle+opening {
+			b.loop.Do(func() { b.serve(n, true) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/http/front.go
@@ -0,0 +1,482 @@
+// Package http is the platform's front: clients' HTTP/1.1 connections, one request at a time on each, and
+// the way from a request to host.Submit and from its final answer to bytes. It knows no node, chooses none
+// and repeats nothing. How many connections there may be, and which go when there is no room, headroom
+// says. All its state belongs to one event loop; only accepting is done beside it.
+package http
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"eiderhold/control"
+	"eiderhold/headroom"
+	"eiderhold/internal/host"
+	"eiderhold/internal/http1"
+	"eiderhold/internal/loop"
+)
+
+const (
+	lookEvery  = 100 * time.Millisecond // for connections whose time is up
+	bindWithin = 3 * time.Second        // a former process may still hold the address
+	takeWithin = 5 * time.Second        // for a client to take an answer
+	heldMost   = http1.MaxHead + http1.MaxBody
+)
+
+// Host takes requests.
+type Host interface {
+	Submit(*host.Request) (uint64, error)
+	Leave(id uint64)
+	Now() time.Duration
+}
+
+// Options are what a front is made of.
+type Options struct {
+	Listen   string
+	Settings control.Settings
+	Conns    int   // connections at a time
+	Bytes    int64 // of requests held
+	Host     Host
+	Ready    func() bool // whether the host can take requests
+	Loop     *loop.Loop
+	Log      *slog.Logger
+}
+
+// Front is a running front.
+type Front struct {
+	opt    Options
+	rules  rules
+	ln     net.Listener
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu    sync.Mutex // guards taken
+	room  *sync.Cond
+	taken int // connections accepted and not yet closed
+
+	// the rest belongs to the loop
+	conns    map[*conn]bool
+	ids      map[string]*conn // of requests that are open, by Request-Id
+	held     int64
+	draining bool
+	stats    Stats
+}
+
+// Stats are counts since the start; Conns, Open and Held are of now.
+type Stats struct {
+	Accepted, Requests, Served, Refused, Failed, Wrong, Left, Evicted, Late uint64
+	Conns, Open                                                             int
+	Held                                                                    int64
+}
+
+// Start listens and serves.
+func Start(opt Options) (*Front, error) {
+	f := &Front{opt: opt, rules: newRules(opt.Settings), conns: map[*conn]bool{}, ids: map[string]*conn{}}
+	f.room = sync.NewCond(&f.mu)
+	var err error
+	for until := time.Now().Add(bindWithin); ; time.Sleep(20 * time.Millisecond) {
+		if f.ln, err = net.Listen("tcp", opt.Listen); err == nil {
+			break
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return nil, fmt.Errorf("http front: listen: %w", err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.done.Add(2)
+	go func() { defer f.done.Done(); f.accept(ctx) }()
+	go func() { defer f.done.Done(); opt.Loop.Every(ctx, lookEvery, f.look) }()
+	return f, nil
+}
+
+// Addr is where the front listens.
+func (f *Front) Addr() string { return f.ln.Addr().String() }
+
+// Stats has fn called, on the loop, with the counts.
+func (f *Front) Stats(fn func(Stats)) {
+	f.opt.Loop.Do(func() {
+		s := f.stats
+		s.Conns, s.Open, s.Held = len(f.conns), len(f.ids), f.held
+		fn(s)
+	})
+}
+
+// accept takes new connections as long as there is room for them. Guards against running out of
+// descriptors: what is over the ceiling waits in the kernel until another connection has gone.
+func (f *Front) accept(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		for f.taken >= f.opt.Conns && ctx.Err() == nil {
+			f.opt.Loop.Do(f.makeRoom)
+			f.room.Wait()
+		}
+		f.taken++
+		f.mu.Unlock()
+		c, err := f.ln.Accept()
+		if err != nil {
+			f.free()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			f.opt.Log.Warn("http front: accept", "err", err)
+			time.Sleep(5 * time.Millisecond) // no descriptor for it: the next attempt may find one
+			continue
+		}
+		if err := f.opt.Loop.Add(c, &conn{f: f}); err != nil {
+			f.free()
+			f.opt.Log.Warn("http front: connection", "err", err)
+		}
+	}
+}
+
+// free gives a connection's place back.
+func (f *Front) free() {
+	f.mu.Lock()
+	f.taken--
+	f.room.Broadcast()
+	f.mu.Unlock()
+}
+
+// places says how many of the places are taken. One that is being accepted counts only if it has come.
+func (f *Front) places() (taken, of int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.taken, f.opt.Conns
+}
+
+// look ends connections whose time is up.
+func (f *Front) look() {
+	now := f.opt.Host.Now()
+	taken, of := f.places()
+	for c := range f.conns {
+		if slow := (c.closing || c.out) && now-c.since > takeWithin; slow || c.closing && c.g.OutboundBuffered() == 0 {
+			f.opt.Loop.Close(c.g)
+			continue
+		}
+		if c.out && c.g.OutboundBuffered() == 0 { // a slow reader has taken its answer
+			c.out = false
+			c.since = now
+			if c.next() == gnet.Close {
+				f.opt.Loop.Close(c.g)
+				continue
+			}
+		}
+		switch headroom.Judge(now, c.known(), taken, of) {
+		case headroom.Leave:
+			f.stats.Evicted++
+			f.opt.Loop.Close(c.g)
+		case headroom.Late:
+			f.stats.Late++
+			c.refuse(408, "the request did not come in time")
+			f.opt.Loop.Close(c.g)
+		}
+	}
+	if taken >= of {
+		f.makeRoom()
+	}
+	f.mu.Lock()
+	f.room.Broadcast() // accept asks again
+	f.mu.Unlock()
+}
+
+// makeRoom ends the connection that may best go, if all places are taken.
+func (f *Front) makeRoom() {
+	if taken, of := f.places(); taken < of {
+		return
+	}
+	now := f.opt.Host.Now()
+	var worst *conn
+	top := 0.0
+	for c := range f.conns {
+		if rank, may := headroom.Rank(now, c.known()); may && (worst == nil || rank > top) {
+			worst, top = c, rank
+		}
+	}
+	if worst != nil {
+		f.stats.Evicted++
+		f.opt.Loop.Close(worst.g)
+	}
+}
+
+// Drain has every answer end its connection, and ends those that have no request open.
+func (f *Front) Drain() {
+	f.opt.Loop.Do(func() {
+		f.draining = true
+		f.closeIdle()
+	})
+}
+
+func (f *Front) closeIdle() {
+	for c := range f.conns {
+		if c.req == nil && len(c.in) == 0 && !c.out {
+			f.opt.Loop.Close(c.g)
+		}
+	}
+}
+
+// Rest has fn called, on the loop, with the number of connections left after those without a request were
+// closed again.
+func (f *Front) Rest(fn func(conns int)) {
+	f.opt.Loop.Do(func() {
+		f.closeIdle()
+		fn(len(f.conns))
+	})
+}
+
+// Deaf ends listening.
+func (f *Front) Deaf() {
+	f.cancel()
+	_ = f.ln.Close()
+	f.mu.Lock()
+	f.room.Broadcast()
+	f.mu.Unlock()
+}
+
+// Close ends listening and waits for what runs beside the loop. The connections end with the loop.
+func (f *Front) Close() {
+	f.Deaf()
+	f.done.Wait()
+}
+
+// conn is one client's connection.
+type conn struct {
+	f       *Front
+	g       gnet.Conn
+	in      []byte
+	looked  int
+	head    *http1.Request // of a request whose body is not whole
+	want    int            // bytes of head and body
+	headLen int
+	pending *host.Request
+	req     *host.Request // open
+	id      uint64        // of req, at the host
+	close   bool          // after the answer
+	doomed  bool          // what comes is thrown away, and the connection ends with the answer
+	asked   bool
+	out     bool // the last answer is not yet out whole
+	closing bool // ends when it is
+	gone    bool
+	opened  time.Duration
+	since   time.Duration
+}
+
+func (c *conn) known() headroom.Conn {
+	return headroom.Conn{Open: c.req != nil || c.out || c.closing, Asked: c.asked, Begun: len(c.in) > 0,
+		Opened: c.opened, Since: c.since}
+}
+
+// Opened takes a new client.
+func (c *conn) Opened(g gnet.Conn) {
+	c.g = g
+	c.opened = c.f.opt.Host.Now()
+	c.since = c.opened
+	c.f.conns[c] = true
+	c.f.stats.Accepted++
+}
+
+// Closed books that the client has gone, or was sent away.
+func (c *conn) Closed(gnet.Conn, error) {
+	f := c.f
+	c.gone = true
+	delete(f.conns, c)
+	f.hold(c, 0)
+	if c.req != nil {
+		delete(f.ids, c.req.Message.ID)
+		f.stats.Left++
+		f.opt.Host.Leave(c.id)
+		c.req = nil
+	}
+	f.free()
+}
+
+// hold books the bytes that a connection holds.
+func (f *Front) hold(c *conn, n int) {
+	f.held += int64(n - len(c.in))
+	if n == 0 {
+		c.in = nil
+	}
+}
+
+// Traffic takes bytes from the client. While a request is open the next one waits, up to what one may
+// have; who sends more is served the one that is open, and then leaves.
+func (c *conn) Traffic(g gnet.Conn) gnet.Action {
+	p, err := g.Next(-1)
+	if err != nil || c.gone {
+		return gnet.None
+	}
+	if c.doomed || c.closing {
+		return gnet.None
+	}
+	if len(c.in) == 0 && c.req == nil && !c.out {
+		c.since = c.f.opt.Host.Now()
+	}
+	if busy := c.req != nil || c.out; busy && len(c.in)+len(p) > heldMost {
+		c.f.hold(c, 0)
+		c.doomed, c.close = true, true
+		return gnet.None
+	}
+	c.f.held += int64(len(p))
+	c.in = append(c.in, p...)
+	if c.f.held > c.f.opt.Bytes && c.req == nil && !c.out {
+		c.refuse(503, "more bytes of requests held than allowed")
+		return gnet.Close
+	}
+	return c.next()
+}
+
+// next goes on with what has come, unless a request is open.
+func (c *conn) next() gnet.Action {
+	if c.req != nil || c.out || c.gone || len(c.in) == 0 {
+		return gnet.None
+	}
+	if c.pending == nil && c.head == nil {
+		h, n, err := http1.ParseRequest(c.in, c.looked)
+		if err == http1.ErrShort {
+			c.looked = len(c.in)
+			return gnet.None
+		}
+		if err == nil {
+			err = c.begin(&h, n)
+		}
+		if err != nil {
+			c.refuse(statusOf(err), err.Error())
+			return gnet.Close
+		}
+	}
+	if len(c.in) < c.want {
+		return gnet.None
+	}
+	return c.whole()
+}
+
+// begin takes a head.
+func (c *conn) begin(h *http1.Request, n int) error {
+	if h.Body.Chunked {
+		return wrong(411, "a body without Content-Length")
+	}
+	if h.Body.Length > http1.MaxBody {
+		return wrong(413, "a body of %d bytes: %d at most", h.Body.Length, http1.MaxBody)
+	}
+	c.close = h.Close
+	c.headLen, c.want = n, n+int(h.Body.Length)
+	c.head = h
+	if health(h) {
+		if string(h.Method) != "GET" {
+			return wrong(405, "method of /_health: expected GET")
+		}
+		return nil
+	}
+	r, err := c.f.rules.read(h)
+	if err != nil {
+		return err
+	}
+	c.pending = r
+	return nil
+}
+
+// whole hands a request that has come whole to the host.
+func (c *conn) whole() gnet.Action {
+	f, r := c.f, c.pending
+	if r != nil && c.want > c.headLen {
+		r.Message.Body = append([]byte(nil), c.in[c.headLen:c.want]...)
+	}
+	rest := len(c.in) - c.want
+	c.in = c.in[:copy(c.in, c.in[c.want:])]
+	f.held -= int64(c.want)
+	if rest == 0 {
+		c.in = nil
+	}
+	c.head, c.pending, c.looked, c.asked = nil, nil, 0, true
+	if r == nil {
+		if f.opt.Ready() {
+			return c.answer(200, "", nil)
+		}
+		return c.answer(503, "", nil)
+	}
+	if f.ids[r.Message.ID] != nil {
+		return c.answer(409, "", []byte("Request-Id: a request with it is open\n"))
+	}
+	f.stats.Requests++
+	r.Answer = func(a host.Answer) { f.opt.Loop.Do(func() { c.final(r, a) }) }
+	id, err := f.opt.Host.Submit(r)
+	if err != nil { // nothing has run: trying again is harmless
+		f.stats.Refused++
+		return c.answer(503, "", []byte(err.Error()+"\n"))
+	}
+	c.req, c.id = r, id
+	f.ids[r.Message.ID] = c
+	return gnet.None
+}
+
+// final passes the host's final answer on.
+func (c *conn) final(r *host.Request, a host.Answer) {
+	defer a.Data.Release()
+	if c.gone || c.req != r {
+		return
+	}
+	f := c.f
+	delete(f.ids, r.Message.ID)
+	c.req = nil
+	var action gnet.Action
+	switch a.Kind {
+	case host.Served:
+		f.stats.Served++
+		action = c.answer(200, "", a.Data.B)
+	case host.Refused:
+		f.stats.Refused++
+		action = c.answer(503, strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64), nil)
+	default:
+		f.stats.Failed++
+		action = c.answer(504, "", []byte(a.Cause+"\n"))
+	}
+	if action == gnet.None {
+		action = c.next()
+	}
+	if action == gnet.Close && !c.gone {
+		f.opt.Loop.Close(c.g)
+	}
+}
+
+// refuse answers what cannot be taken. The connection ends with it: what follows could be part of it.
+func (c *conn) refuse(status int, text string) {
+	c.f.stats.Wrong++
+	c.close = true
+	c.f.hold(c, 0)
+	c.answer(status, "", []byte(text+"\n"))
+}
+
+// answer writes one answer.
+func (c *conn) answer(status int, retryAfter string, body []byte) gnet.Action {
+	end := c.close || c.doomed || c.f.draining
+	b := make([]byte, 0, 192+len(body))
+	b = http1.AppendStatus(b, status)
+	b = http1.AppendInt(b, "Content-Length", int64(len(body)))
+	if retryAfter != "" {
+		b = http1.AppendField(b, "Retry-After", retryAfter)
+	}
+	if end {
+		b = http1.AppendField(b, "Connection", "close")
+	}
+	b = append(http1.AppendEnd(b), body...)
+	if _, err := c.g.Write(b); err != nil || c.gone {
+		return gnet.None
+	}
+	c.since = c.f.opt.Host.Now()
+	if c.g.OutboundBuffered() > 0 {
+		c.out, c.closing = !end, end
+		return gnet.None
+	}
+	if end {
+		return gnet.Close
+	}
+	return gnet.None
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,6 +19,7 @@
 
 	"eiderhold/control"
 	"eiderhold/internal/buffer"
+	"eiderhold/internal/http1"
 	"eiderhold/internal/nodewire"
 	"eiderhold/internal/wheel"
 )
@@ -74,6 +75,9 @@
 	Length  int
 	Payload []byte
 
+	// Message is the request as it came, for nodes that speak HTTP; the fields above are not used then.
+	Message *http1.Message
+
 	// Answer takes the final answer, once, on the host's loop. It must not block.
 	Answer func(Answer)
 }
--- /dev/null
+++ b/internal/live/config.go
@@ -0,0 +1,97 @@
+package live
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"eiderhold/control"
+	"eiderhold/internal/wire"
+)
+
+// Config is what the platform tells a host: the file that BALANCER_CONFIG names.
+type Config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"` // 16 hexadecimal digits
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	control control.Settings
+	conns   wire.Conns
+	seed    uint64
+}
+
+const configMost = 16 << 20 // bytes of the file
+
+// Load reads the configuration and checks it whole. Where the file leaves name, listen or discovery out,
+// the variables say them.
+func Load(env func(string) string) (*Config, error) {
+	file := env("BALANCER_CONFIG")
+	if file == "" {
+		return nil, fmt.Errorf("BALANCER_CONFIG is not set: expected the configuration's file")
+	}
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	if info.Size() > configMost {
+		return nil, fmt.Errorf("BALANCER_CONFIG: %s: %d bytes: %d at most", file, info.Size(), configMost)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	c, err := Parse(text, env)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration's text.
+func Parse(text []byte, env func(string) string) (*Config, error) {
+	c := &Config{}
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	for _, v := range []struct {
+		field    *string
+		variable string
+	}{{&c.Name, "BALANCER_NAME"}, {&c.Listen, "BALANCER_LISTEN"}, {&c.Discovery, "BALANCER_DISCOVERY"}} {
+		if *v.field == "" {
+			*v.field = env(v.variable)
+		}
+	}
+	if c.Name == "" {
+		return nil, fmt.Errorf("name: empty, and BALANCER_NAME is not set")
+	}
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
+			return nil, fmt.Errorf("%s: %q: expected address:port", a.name, a.addr)
+		}
+	}
+	var err error
+	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q: expected up to 16 hexadecimal digits", c.Seed)
+	}
+	if l := c.Limits; !(l.Cores > 0) || !(l.MemoryMB >= 16) || l.Sockets < 64 {
+		return nil, fmt.Errorf("limits: cores %v, memory_mb %v, sockets %d: expected more than 0, 16 or more, 64 or more",
+			l.Cores, l.MemoryMB, l.Sockets)
+	}
+	if c.control, err = wire.Settings(c.Settings); err != nil {
+		return nil, err
+	}
+	if c.conns, err = wire.ConnSettings(c.Settings); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/live/live.go
@@ -0,0 +1,221 @@
+// Package live is the platform's host: the HTTP front, the host loop around the controller, HTTP connections
+// to nodes and the watch of discovery, put together in the order in which they need each other, and taken
+// apart as the platform's signals ask. It decides nothing about a request. Everything else the program has
+// (rsync, catalogue, mover, admin socket, shares) is off here. cmd/eiderhold starts it.
+package live
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"runtime/metrics"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"eiderhold/control"
+	"eiderhold/headroom"
+	backend "eiderhold/internal/backend/http"
+	"eiderhold/internal/discovery"
+	front "eiderhold/internal/front/http"
+	"eiderhold/internal/host"
+	"eiderhold/internal/loop"
+)
+
+const (
+	// procs is how many threads may run Go code: the event loop sits in the kernel most of the time, and a
+	// thread that does takes its place with it for up to 10 ms (the runtime's watch over system calls).
+	procs = 4
+	// acceptFor is how long new connections are taken after SIGTERM: they keep coming for 0.2 to 0.4 s.
+	acceptFor = 550 * time.Millisecond
+	// restEvery is how often a host that ends looks whether all is answered.
+	restEvery = 20 * time.Millisecond
+	// endWithin is when a host that ends does so in any case: the platform kills it 3.7 s after SIGTERM.
+	endWithin  = 3500 * time.Millisecond
+	statsEvery = 5 * time.Second
+	service    = "origin.svc" // as clients name it
+)
+
+// Live is a running host.
+type Live struct {
+	cfg   *Config
+	log   *slog.Logger
+	loop  *loop.Loop
+	host  *host.Host
+	back  *backend.Backend
+	feed  *discovery.Feed
+	front *front.Front
+
+	listed atomic.Bool // a list of nodes has come
+	cancel context.CancelFunc
+	ended  chan struct{}
+	err    error
+}
+
+// Signals has the program's signals kept from its first moment on: one that comes before there is anybody
+// to take it must not end the process.
+func Signals() chan os.Signal {
+	c := make(chan os.Signal, 16)
+	signal.Notify(c, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	return c
+}
+
+// Start starts a host; it serves when Start returns.
+func Start(cfg *Config, log *slog.Logger) (*Live, error) {
+	split := headroom.Divide(cfg.Limits.Sockets, int64(cfg.Limits.MemoryMB*(1<<20)))
+	runtime.GOMAXPROCS(procs)
+	debug.SetMemoryLimit(split.Heap)
+	l := &Live{cfg: cfg, log: log, ended: make(chan struct{})}
+	var err error
+	if l.loop, err = loop.Start(log); err != nil {
+		return nil, err
+	}
+	l.back = backend.New(backend.Settings{Conns: split.Nodes, Idle: cfg.conns.Idle, DialTimeout: cfg.conns.DialTimeout,
+		Service: service, LoadFields: cfg.control.LoadFields}, l.loop, log)
+	l.host, err = host.New(host.Options{Settings: cfg.control, Seed: int64(cfg.seed), Backend: l.back, Log: log,
+		MostOpen: split.Requests})
+	if err != nil {
+		return nil, err
+	}
+	l.back.Own(l.host)
+	l.feed = discovery.New(cfg.Discovery, l, log)
+	l.host.Follow(l.feed)
+	if len(cfg.Known) > 0 {
+		if err := l.feed.Start(cfg.Known); err != nil {
+			log.Warn("the list known at the start cannot be used and is passed over", "err", err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	go func() {
+		l.err = l.host.Run()
+		close(l.ended)
+	}()
+	go l.feed.Run(ctx)
+	l.front, err = front.Start(front.Options{Listen: cfg.Listen, Settings: cfg.control, Conns: split.Clients,
+		Bytes: split.Bytes, Host: l.host, Ready: l.listed.Load, Loop: l.loop, Log: log})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	log.Info("serving", "listen", l.front.Addr(), "discovery", cfg.Discovery, "cores", cfg.Limits.Cores,
+		"memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets, "clients", split.Clients, "nodes", split.Nodes,
+		"requests", split.Requests, "hosts", cfg.control.Hosts)
+	return l, nil
+}
+
+// List hands news of the list to the host.
+func (l *Live) List(news host.List) {
+	l.host.List(news)
+	if len(news.Nodes) > 0 || news.Kind == control.ListFull {
+		l.listed.Store(true)
+	}
+}
+
+// StartedAt is the host's.
+func (l *Live) StartedAt(node string, wall time.Time) time.Duration {
+	return l.host.StartedAt(node, wall)
+}
+
+// Addr is where clients connect.
+func (l *Live) Addr() string { return l.front.Addr() }
+
+// Reload takes what of another configuration can change while running: where discovery is.
+func (l *Live) Reload(cfg *Config) { l.feed.Follow(cfg.Discovery) }
+
+// Attend serves until a signal ends it, or the host loop does. reload reads the configuration again.
+func (l *Live) Attend(signals <-chan os.Signal, reload func() (*Config, error)) error {
+	every := time.NewTicker(statsEvery)
+	defer every.Stop()
+	for {
+		select {
+		case <-l.ended:
+			err := l.err
+			if err == nil {
+				err = fmt.Errorf("the host loop ended unasked")
+			}
+			return err
+		case <-every.C:
+			l.logStats()
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				l.log.Info("ending", "signal", s.String())
+				go func() { // further signals change nothing: what was taken is owed its answer
+					for range signals {
+					}
+				}()
+				return l.drain()
+			}
+			cfg, err := reload()
+			if err != nil {
+				l.log.Error("the new configuration cannot be used; the old one applies", "err", err)
+				continue
+			}
+			l.log.Info("configuration read again", "discovery", cfg.Discovery)
+			l.Reload(cfg)
+		}
+	}
+}
+
+// drain answers what is open and ends. New connections are taken for a while, as clients have not heard yet;
+// every answer says that its connection ends, and those without a request are closed.
+func (l *Live) drain() error {
+	l.front.Drain()
+	began := time.Now()
+	deaf := false
+	for time.Since(began) < endWithin {
+		time.Sleep(restEvery)
+		if !deaf && time.Since(began) >= acceptFor {
+			deaf = true
+			l.front.Deaf()
+		}
+		if !deaf {
+			continue
+		}
+		left := make(chan int, 1)
+		l.front.Rest(func(conns int) { left <- conns })
+		if <-left == 0 {
+			break
+		}
+	}
+	l.logStats()
+	return l.Close()
+}
+
+// Close ends everything.
+func (l *Live) Close() error {
+	l.front.Close()
+	l.cancel()
+	l.back.Close()
+	l.host.Stop(nil)
+	<-l.ended
+	return l.loop.Stop()
+}
+
+// logStats writes the counts since the start, and what is held now, as one line.
+func (l *Live) logStats() {
+	samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/memory/classes/total:bytes"},
+		{Name: "/sched/goroutines:goroutines"}, {Name: "/gc/cycles/total:gc-cycles"}}
+	metrics.Read(samples)
+	h, d := l.host.Stats(), l.feed.State()
+	var cpu syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &cpu)
+	l.front.Stats(func(f front.Stats) {
+		l.back.Stats(func(b backend.Stats) {
+			l.log.Info("stats", "front", f, "nodes", b,
+				slog.Group("host", "requests", h.Requests, "served", h.Answers[host.Served], "refused", h.Answers[host.Refused],
+					"failed", h.Answers[host.Failed], "attempts", h.Attempts, "open", h.Open, "out", h.Out, "turns", h.Turns,
+					"late", h.Late, "left", h.Left, "defects", h.Defects, "results", h.Results,
+					"mailbox_p99", h.Mailbox.At(99), "mailbox_max", h.Mailbox.At(100), "decide_p99", h.Decide.At(99),
+					"outcome_p50", h.Outcome.At(50), "outcome_p99", h.Outcome.At(99)),
+				slog.Group("discovery", "rev", d.Rev, "nodes", d.Nodes, "watching", d.Watching, "watches", d.Watches, "passed", d.Passed),
+				slog.Group("process", "heap", samples[0].Value.Uint64(), "memory", samples[1].Value.Uint64(),
+					"goroutines", samples[2].Value.Uint64(), "collections", samples[3].Value.Uint64(), "maxrss_kb", cpu.Maxrss,
+					"user", time.Duration(cpu.Utime.Nano()), "system", time.Duration(cpu.Stime.Nano())))
+		})
+	})
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,168 @@
+// Package loop is one gnet event loop that connections of several owners share: clients of the HTTP front
+// and connections to nodes. Whatever an owner does to its state it does on the loop, so that none of it
+// takes a lock. The loop decides nothing and knows no protocol. internal/live makes it; internal/front/http
+// and internal/backend/http put their connections on it.
+package loop
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"eiderhold/internal/telemetry"
+)
+
+// readCap is how many bytes a turn of the loop reads from one connection.
+const readCap = 64 << 10
+
+// Peer is what an owner keeps of a connection. Its methods run on the loop.
+type Peer interface {
+	Opened(gnet.Conn) // it may be written to from now on
+	Traffic(gnet.Conn) gnet.Action
+	Closed(gnet.Conn, error)
+}
+
+// Loop is a running event loop.
+type Loop struct {
+	log    *slog.Logger
+	client *gnet.Client
+	el     gnet.EventLoop
+	anchor net.Conn // the other end of a pair that gives the loop's handle
+
+	mu   sync.Mutex
+	box  []func()
+	rung bool
+}
+
+// Start starts a loop.
+func Start(log *slog.Logger) (*Loop, error) {
+	l := &Loop{log: log}
+	client, err := gnet.NewClient(&handler{}, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(telemetry.Gnet{Log: log}), gnet.WithReadBufferCap(readCap), gnet.WithWriteBufferCap(readCap))
+	if err == nil {
+		err = client.Start()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	l.client = client
+	if err := l.anchorTo(); err != nil {
+		_ = client.Stop()
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	return l, nil
+}
+
+// anchorTo enrols one end of a socket pair: gnet hands out a loop's handle with a connection only.
+func (l *Loop) anchorTo() error {
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return err
+	}
+	var ends [2]net.Conn
+	for i, fd := range fds {
+		f := os.NewFile(uintptr(fd), "anchor")
+		ends[i], err = net.FileConn(f)
+		_ = f.Close()
+		if err != nil {
+			return err
+		}
+	}
+	l.anchor = ends[1]
+	g, err := l.client.EnrollContext(ends[0], anchor{})
+	if err == nil {
+		l.el = g.EventLoop()
+	}
+	return err
+}
+
+type anchor struct{}
+
+func (anchor) Opened(gnet.Conn)              {}
+func (anchor) Traffic(gnet.Conn) gnet.Action { return gnet.None }
+func (anchor) Closed(gnet.Conn, error)       {}
+
+// Do has f run on the loop. What is posted runs in order. After Stop nothing runs.
+func (l *Loop) Do(f func()) {
+	l.mu.Lock()
+	l.box = append(l.box, f)
+	rung := l.rung
+	l.rung = true
+	l.mu.Unlock()
+	if rung {
+		return
+	}
+	if err := l.el.Execute(context.Background(), turn{l}); err != nil {
+		l.mu.Lock()
+		l.box, l.rung = nil, false
+		l.mu.Unlock()
+	}
+}
+
+type turn struct{ l *Loop }
+
+// Run does what was posted.
+func (t turn) Run(context.Context) error {
+	t.l.mu.Lock()
+	box := t.l.box
+	t.l.box, t.l.rung = nil, false
+	t.l.mu.Unlock()
+	for _, f := range box {
+		f()
+	}
+	return nil
+}
+
+// Every has f run on the loop again and again until ctx ends.
+func (l *Loop) Every(ctx context.Context, pause time.Duration, f func()) {
+	tick := time.NewTicker(pause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			l.Do(f)
+		}
+	}
+}
+
+// Add puts a connection on the loop. It returns once Opened has run; c must not be used any more. An error
+// means that the connection is closed and the peer will hear nothing.
+func (l *Loop) Add(c net.Conn, p Peer) error {
+	_, err := l.client.EnrollContext(c, p)
+	return err
+}
+
+// Close ends a connection, on the loop: Closed runs before it returns.
+func (l *Loop) Close(g gnet.Conn) { _ = l.el.Close(g) }
+
+// Stop ends the loop and all connections on it.
+func (l *Loop) Stop() error {
+	err := l.client.Stop()
+	_ = l.anchor.Close()
+	return err
+}
+
+type handler struct{ gnet.BuiltinEventEngine }
+
+func (*handler) OnOpen(g gnet.Conn) ([]byte, gnet.Action) {
+	g.Context().(Peer).Opened(g)
+	return nil, gnet.None
+}
+
+func (*handler) OnTraffic(g gnet.Conn) gnet.Action { return g.Context().(Peer).Traffic(g) }
+
+func (*handler) OnClose(g gnet.Conn, err error) gnet.Action {
+	if p, ok := g.Context().(Peer); ok {
+		p.Closed(g, err)
+	}
+	return gnet.None
+}
--- a/internal/wire/setup.go
+++ b/internal/wire/setup.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"eiderhold/control"
 )
@@ -45,6 +46,8 @@
 	} `json:"family_info"`
 	Limits struct {
 		Cancelling      bool    `json:"cancelling"`
+		ConnIdleMS      float64 `json:"conn_idle_ms"`
+		DialTimeoutMS   float64 `json:"dial_timeout_ms"`
 		MaxAttempts     int     `json:"max_attempts"`
 		MaxRetryAfterMS float64 `json:"max_retry_after_ms"`
 		Probes          bool    `json:"probes"`
@@ -78,6 +81,26 @@
 	"": control.GroupAll, "all": control.GroupAll, "zone": control.GroupZone, "cell": control.GroupCell,
 }
 
+// Conns are the settings of connections to nodes, which concern the host that opens them and not the library.
+type Conns struct {
+	Idle        time.Duration // a node closes a connection that has idled for so long; 0: it does not
+	DialTimeout time.Duration // a connection that is not up by then counts as unreachable; 0: not told
+}
+
+// ConnSettings reads what the settings say of connections.
+func ConnSettings(text []byte) (Conns, error) {
+	var s setup
+	if err := json.Unmarshal(text, &s); err != nil {
+		return Conns{}, fmt.Errorf("settings: %w", err)
+	}
+	c := Conns{duration(s.Limits.ConnIdleMS), duration(s.Limits.DialTimeoutMS)}
+	if c.Idle < 0 || c.DialTimeout < 0 {
+		return c, fmt.Errorf("settings: limits: conn_idle_ms %v, dial_timeout_ms %v: expected none below 0",
+			s.Limits.ConnIdleMS, s.Limits.DialTimeoutMS)
+	}
+	return c, nil
+}
+
 // Settings translates the settings of a start message. Whether they make sense
 // is for the controller's constructor to say.
 func Settings(text []byte) (control.Settings, error) {
