--- a/connpool/connpool.go
+++ b/connpool/connpool.go
@@ -108,6 +108,7 @@
 		n.opening++
 		return c, Evict
 	}
+	p.forget(id)
 	return c, Wait
 }
 
@@ -128,6 +129,7 @@
 	}
 	c = worst.idle[0].conn
 	worst.idle = slices.Delete(worst.idle, 0, 1)
+	p.forget(name)
 	return c, true
 }
 
--- /dev/null
+++ b/connpool/connpool_test.go
@@ -0,0 +1,167 @@
+package connpool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// TestRest: what has just carried an answer carries nothing at once; a second attempt has one opened, a
+// third that comes while two will be there waits for them.
+func TestRest(t *testing.T) {
+	p := New[int](Settings{Total: 10, Idle: time.Second})
+	expect := func(now time.Duration, waiting int, conn int, want Verdict) {
+		t.Helper()
+		if c, v := p.Take(now, "n", waiting); v != want || c != conn {
+			t.Fatalf("at %v: connection %d, verdict %d; expected %d, %d", now, c, v, conn, want)
+		}
+	}
+	expect(0, 0, 0, Open)
+	p.Opened(1*ms, "n", 1)
+	expect(1*ms, 0, 1, Use) // a new one need not rest
+	p.Done(2*ms, "n", 1)
+	expect(2*ms, 0, 0, Resume)
+	expect(2*ms, 1, 0, Open)
+	expect(2*ms, 1, 0, Resume)
+	if at, ok := p.Due("n"); !ok || at != 2*ms+rest {
+		t.Fatalf("due at %v, %v", at, ok)
+	}
+	expect(2*ms+rest, 0, 1, Use)
+}
+
+// TestLatestFirst: the connection that idled least is used, the others grow old and are closed before the
+// node would.
+func TestLatestFirst(t *testing.T) {
+	p := New[int](Settings{Total: 10, Idle: time.Second})
+	for i := 1; i <= 3; i++ {
+		p.Take(0, "n", i-1)
+	}
+	for i := 1; i <= 3; i++ {
+		p.Opened(time.Duration(i)*ms, "n", i)
+	}
+	if c, v := p.Take(10*ms, "n", 0); c != 3 || v != Use {
+		t.Fatalf("connection %d, verdict %d", c, v)
+	}
+	p.Done(900*ms, "n", 3)
+	wanted := func(string) bool { return true }
+	if old := p.Old(699*ms, wanted); len(old) != 0 {
+		t.Fatalf("%v are old too early", old)
+	}
+	if old := p.Old(702*ms, wanted); len(old) != 2 || old[0] != 1 || old[1] != 2 {
+		t.Fatalf("old: %v, expected 1 and 2", old)
+	}
+	if old := p.Old(902*ms, func(string) bool { return false }); len(old) != 1 || p.Total() != 0 {
+		t.Fatalf("of a node that is not wanted: %v, %d left", old, p.Total())
+	}
+}
+
+// TestCeiling: at the ceiling the one that idled longest at another node goes; if there is none, the
+// attempt waits.
+func TestCeiling(t *testing.T) {
+	p := New[int](Settings{Total: 2})
+	p.Take(0, "a", 0)
+	p.Opened(1*ms, "a", 1)
+	p.Take(0, "b", 0)
+	p.Opened(2*ms, "b", 2)
+	if c, v := p.Take(3*ms, "c", 0); c != 1 || v != Evict || p.Total() != 2 {
+		t.Fatalf("connection %d, verdict %d, %d in all", c, v, p.Total())
+	}
+	if c, v := p.Take(3*ms, "b", 0); c != 2 || v != Use {
+		t.Fatalf("connection %d, verdict %d", c, v)
+	}
+	if _, v := p.Take(3*ms, "b", 0); v != Wait {
+		t.Fatalf("verdict %d", v)
+	}
+	p.Failed("c")
+	if _, v := p.Take(4*ms, "b", 0); v != Open {
+		t.Fatalf("a dial that failed gives its place back: verdict %d", v)
+	}
+}
+
+// TestBooks plays any order of what can happen against plain books: the ceiling holds, a connection is
+// never in two places, and nodes without connections are forgotten.
+func TestBooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(1, 6).Draw(t, "total")
+		p := New[int](Settings{Total: total, Idle: 100 * ms})
+		type place struct {
+			node string
+			busy bool
+		}
+		conns, opening, next, now := map[int]place{}, []string{}, 0, time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * ms
+			id := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "node"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				c, v := p.Take(now, id, rapid.IntRange(0, 2).Draw(t, "waiting"))
+				switch v {
+				case Use:
+					if conns[c].busy || conns[c].node != id {
+						t.Fatalf("connection %d of %+v is used for %s", c, conns[c], id)
+					}
+					conns[c] = place{id, true}
+				case Evict:
+					if conns[c].busy || conns[c].node == id {
+						t.Fatalf("connection %d of %+v makes room for %s", c, conns[c], id)
+					}
+					delete(conns, c)
+					opening = append(opening, id)
+				case Open:
+					opening = append(opening, id)
+				}
+			case 1:
+				if len(opening) > 0 {
+					id, opening = opening[0], opening[1:]
+					if rapid.Bool().Draw(t, "up") {
+						next++
+						p.Opened(now, id, next)
+						conns[next] = place{id, false}
+					} else {
+						p.Failed(id)
+					}
+				}
+			case 2, 3:
+				for c := 1; c <= next; c++ {
+					if w, ok := conns[c]; ok && w.busy {
+						if rapid.Bool().Draw(t, "again") {
+							p.Done(now, w.node, c)
+							conns[c] = place{w.node, false}
+						} else {
+							p.Ended(w.node)
+							delete(conns, c)
+						}
+						break
+					}
+				}
+			case 4:
+				for _, c := range p.Old(now, func(n string) bool { return n != id }) {
+					if conns[c].busy {
+						t.Fatalf("connection %d is old and in use", c)
+					}
+					delete(conns, c)
+				}
+			}
+			if p.Total() != len(conns)+len(opening) || p.Total() > total {
+				t.Fatalf("%d in the books, %d and %d opening, %d allowed", p.Total(), len(conns), len(opening), total)
+			}
+		}
+		for c, w := range conns {
+			if w.busy {
+				p.Ended(w.node)
+			} else if !p.Lost(w.node, c) {
+				t.Fatalf("connection %d of %+v is not idle", c, w)
+			}
+		}
+		for _, id := range opening {
+			p.Failed(id)
+		}
+		if len(p.nodes) != 0 || p.Total() != 0 {
+			t.Fatalf("%d nodes and %d connections are remembered", len(p.nodes), p.Total())
+		}
+	})
+}
--- a/control/api.go
+++ b/control/api.go
@@ -289,6 +289,21 @@
 func (NodeList) event()      {}
 func (ProbeResult) event()   {}
 
+// Belief is what a controller believes of a node.
+type Belief struct {
+	Node      string
+	State     NodeState
+	Listed    bool
+	Out, Held int // attempts out there, requests held for it
+	Window    float64
+	RoundTrip time.Duration // mean
+	Backlog   time.Duration // wait that a new attempt meets
+	UnitTime  time.Duration // without a wait
+	Errors    float64       // share of error answers of late
+	Suspect   bool
+	Cold      bool
+}
+
 // Action is one thing that the host is to do.
 type Action interface{ action() }
 
--- a/control/state.go
+++ b/control/state.go
@@ -300,3 +300,15 @@
 	c.timerAt, c.timerSet = at, true
 	c.act(SetTimer{at, c.token})
 }
+
+// Beliefs is what is believed of each node that is known, by id. It changes nothing: who runs a controller
+// sets it against what passes on the sockets.
+func (c *Controller) Beliefs() []Belief {
+	list := make([]Belief, 0, len(c.order))
+	for _, n := range c.order {
+		list = append(list, Belief{Node: n.ID, State: n.State, Listed: n.listed, Out: len(n.out), Held: len(n.held),
+			Window: n.window, RoundTrip: time.Duration(n.rtt), Backlog: time.Duration(n.wait.now(c.now, waitFade)),
+			UnitTime: time.Duration(n.unit.value), Errors: n.errors, Suspect: n.suspect(), Cold: c.cold(n)})
+	}
+	return list
+}
--- /dev/null
+++ b/headroom/headroom_test.go
@@ -0,0 +1,65 @@
+package headroom
+
+import (
+	"testing"
+	"time"
+)
+
+// TestDivide: what is split is no more than there is, at the least and at the most that hosts get, and
+// clients get the third that they may hold for requests.
+func TestDivide(t *testing.T) {
+	for _, c := range []struct{ descriptors, mb int }{{256, 32}, {384, 64}, {1024, 192}} {
+		s := Divide(c.descriptors, int64(c.mb)<<20)
+		if s.Clients+s.Nodes+fixed > c.descriptors || s.Clients < c.descriptors/3 {
+			t.Errorf("%d descriptors: %+v", c.descriptors, s)
+		}
+		if s.Heap+2*s.Bytes > int64(c.mb)<<20 || s.Requests < s.Clients {
+			t.Errorf("%d MB: %+v", c.mb, s)
+		}
+	}
+}
+
+func TestJudge(t *testing.T) {
+	sec := time.Second
+	for _, c := range []struct {
+		name          string
+		conn          Conn
+		now           time.Duration
+		taken, places int
+		want          Verdict
+	}{
+		{"a request is open", Conn{Open: true}, 99 * sec, 100, 100, Stay},
+		{"silent, new", Conn{}, 1 * sec, 1, 100, Stay},
+		{"silent for long", Conn{}, 3 * sec, 1, 100, Leave},
+		{"silent, and no room", Conn{}, 400 * time.Millisecond, 100, 100, Leave},
+		{"half a first request", Conn{Begun: true, Since: 2 * sec}, 2300 * time.Millisecond, 1, 100, Late},
+		{"a first request on its way", Conn{Begun: true}, 1 * sec, 100, 100, Stay},
+		{"half a later request", Conn{Begun: true, Asked: true, Since: 5 * sec}, 7 * sec, 1, 100, Late},
+		{"idle, and room", Conn{Asked: true}, 10 * sec, 10, 100, Stay},
+		{"idle, and little room", Conn{Asked: true}, 10 * sec, 80, 100, Leave},
+		{"idle for a moment, and little room", Conn{Asked: true}, 1 * sec, 80, 100, Stay},
+		{"idle for good", Conn{Asked: true}, 21 * sec, 1, 100, Leave},
+	} {
+		if got := Judge(c.now, c.conn, c.taken, c.places); got != c.want {
+			t.Errorf("%s: verdict %d, expected %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestRank: who makes room goes in this order, and nobody whose request is open or half through does.
+func TestRank(t *testing.T) {
+	now := 10 * time.Second
+	last := 99.0
+	for _, c := range []Conn{{}, {Asked: true}, {Begun: true}} {
+		rank, may := Rank(now, c)
+		if !may || rank >= last {
+			t.Errorf("%+v: rank %v after %v", c, rank, last)
+		}
+		last = rank
+	}
+	for _, c := range []Conn{{Open: true}, {Begun: true, Asked: true}, {Opened: now}, {Asked: true, Since: now}} {
+		if rank, may := Rank(now, c); may {
+			t.Errorf("%+v may go, with rank %v", c, rank)
+		}
+	}
+}
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -76,6 +76,7 @@
 	listed   bool
 	waiting  []*try
 	rung     bool // a timer for resting connections runs
+	passed   Passed
 }
 
 type try struct {
@@ -114,15 +115,25 @@
 	})
 }
 
-// Out has f called, on the loop, with how many attempts are out at a node on connections, and how many wait.
-func (b *Backend) Out(id string, f func(out, waiting int)) {
+// Passed is what passed on the sockets of one node.
+type Passed struct {
+	Out, Waiting, Idle, Opening int
+	Written, Answered, Spoilt   uint64
+	Answer                      time.Duration // mean from the request's last byte to the answer's, of late
+	Load                        []float64     // the last report
+}
+
+// Passed has f called, on the loop, with what passed, by node.
+func (b *Backend) Passed(f func(map[string]Passed)) {
 	b.loop.Do(func() {
-		out, _, _ := b.pool.Count(id)
-		waiting := 0
-		if n := b.nodes[id]; n != nil {
-			waiting = len(n.waiting)
+		m := make(map[string]Passed, len(b.nodes))
+		for id, n := range b.nodes {
+			p := n.passed
+			p.Waiting = len(n.waiting)
+			p.Out, p.Idle, p.Opening = b.pool.Count(id)
+			m[id] = p
 		}
-		f(out, waiting)
+		f(m)
 	})
 }
 
@@ -305,6 +316,7 @@
 	gone   bool
 	try    *try // out on it
 	handed handed
+	wrote  time.Duration
 	answer answer
 }
 
@@ -357,6 +369,8 @@
 		return
 	}
 	c.b.stats.Written++
+	c.node.passed.Written++
+	c.wrote = c.b.now()
 	c.handed = whole
 	if c.g.OutboundBuffered() > 0 {
 		c.handed = partly
@@ -377,12 +391,15 @@
 	switch {
 	case err != nil:
 		c.b.stats.Spoilt++
+		c.node.passed.Spoilt++
 		c.over(host.Outcome{Result: control.Error, Text: "spoilt answer: " + err.Error()})
 	case !done:
 		return gnet.None
 	default:
 		c.b.stats.Answers++
-		c.over(c.answer.outcome(c.b.set.LoadFields))
+		o := c.answer.outcome(c.b.set.LoadFields)
+		c.node.passed.answered(c.b.now()-c.wrote, o.Load)
+		c.over(o)
 		if c.answer.reusable && g.OutboundBuffered() == 0 && c.addr == c.node.addr && c.node.listed && !c.b.ended {
 			c.rest()
 			return gnet.None
@@ -392,6 +409,18 @@
 	return gnet.Close
 }
 
+// answered books an answer.
+func (p *Passed) answered(took time.Duration, load []float64) {
+	p.Answered++
+	if p.Answer == 0 {
+		p.Answer = took
+	}
+	p.Answer += (took - p.Answer) / 8
+	if load != nil {
+		p.Load = load
+	}
+}
+
 // over ends the attempt that is out.
 func (c *conn) over(o host.Outcome) {
 	t := c.try
--- /dev/null
+++ b/internal/backend/http/backend_test.go
@@ -0,0 +1,360 @@
+package http
+
+import (
+	"log/slog"
+	"net"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhold/control"
+	"eiderhold/internal/host"
+	"eiderhold/internal/http1"
+	"eiderhold/internal/loop"
+	"eiderhold/internal/standin"
+)
+
+// owner collects outcomes as the host would.
+type owner chan host.Outcome
+
+func (o owner) Ended(out host.Outcome)                                  { o <- out }
+func (o owner) Probed(string, control.Result, time.Duration, []float64) {}
+
+type rig struct {
+	*Backend
+	out  owner
+	next uint64
+}
+
+func newRig(t *testing.T, conns int, addrs ...string) *rig {
+	t.Helper()
+	l, err := loop.Start(slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{out: make(owner, 100_000)}
+	r.Backend = New(Settings{Conns: conns, Idle: time.Minute, DialTimeout: 2 * time.Second, Service: "s",
+		LoadFields: []string{"queue", "latency_ms"}}, l, slog.New(slog.DiscardHandler))
+	r.Own(r.out)
+	var list []host.Node
+	for i, a := range addrs {
+		list = append(list, host.Node{Addr: a, Node: control.Node{ID: string(rune('a' + i))}})
+	}
+	r.Nodes(list)
+	t.Cleanup(func() {
+		r.Close()
+		if err := l.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// send starts an attempt and returns its reference.
+func (r *rig) send(node, body string) uint64 {
+	r.next++
+	m := &http1.Message{Method: "PUT", Target: "/api/v/i", ID: "0123456789abcdef", Key: "k", Body: []byte(body)}
+	r.Send(host.Attempt{Ref: r.next, Node: node, Left: 5 * time.Second, Request: &host.Request{Message: m}})
+	return r.next
+}
+
+// counts are the backend's, on its loop.
+func (r *rig) counts() Stats {
+	c := make(chan Stats, 1)
+	r.Stats(func(s Stats) { c <- s })
+	return <-c
+}
+
+func newNode(t *testing.T, script func(standin.Seen) standin.Reply) *standin.HTTPNode {
+	t.Helper()
+	n, err := standin.NewHTTPNode(script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n
+}
+
+func always(text string) func(standin.Seen) standin.Reply {
+	return func(standin.Seen) standin.Reply { return standin.Reply{Text: text} }
+}
+
+// TestAnswers has each answer taken for what it proves, and the connection used again only after one that
+// is whole and brought no more than belongs to it.
+func TestAnswers(t *testing.T) {
+	ok := standin.Served("data")
+	for _, c := range []struct {
+		name, text string
+		want       control.Result
+		again      bool
+	}{
+		{"served", ok, control.Done, true},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndata\r\n0\r\n\r\n", control.Done, true},
+		{"1xx in front", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + ok, control.Done, true},
+		{"closing", standin.Served("data", "Connection: close"), control.Done, false},
+		{"error", standin.Answer(500, ""), control.Error, true},
+		{"not started", standin.Answer(503, "", "Not-Started: 1"), control.Busy, true},
+		{"over already", standin.Answer(504, "", "Not-Started: 1"), control.Busy, true},
+		{"503 that may have run", standin.Answer(503, ""), control.Error, true},
+		{"not started, 0", standin.Answer(503, "", "Not-Started: 0"), control.Error, true},
+		{"not started, but an error", standin.Answer(500, "", "Not-Started: 1"), control.Error, true},
+		{"a second copy behind", ok + ok, control.Done, false},
+		{"noise behind", ok + "\x00\xff\x01", control.Done, false},
+		{"noise", "\x7f\x00\x01noise\r\n\r\n", control.Error, false},
+		{"a head that never ends", "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 2*http1.MaxHead), control.Error, false},
+		{"lengths that differ", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndata", control.Error, false},
+		{"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndata", control.Error, false},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\ndata", control.Error, false},
+		{"3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1000), control.Error, false},
+		{"spoilt chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", control.Error, false},
+		{"not started, spoilt", "HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: x\r\n\r\n", control.Error, false},
+		{"only 1xx", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", interimMost+1), control.Error, false},
+		{"another protocol", "HTTP/1.1 101 Switch\r\n\r\n" + ok, control.Error, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNode(t, func(s standin.Seen) standin.Reply {
+				if s.Body == "first" {
+					return standin.Reply{Text: c.text}
+				}
+				return standin.Reply{Text: standin.Served("second")}
+			})
+			r := newRig(t, 10, n.Addr())
+			r.send("a", "first")
+			o := <-r.out
+			if o.Result != c.want || o.Result == control.Done && string(o.Data.B) != "data" {
+				t.Fatalf("%+v, expected result %d", o, c.want)
+			}
+			r.send("a", "second")
+			if o := <-r.out; o.Result != control.Done || string(o.Data.B) != "second" {
+				t.Fatalf("the next request got %+v", o)
+			}
+			if s := n.Seen(2); (s[0].Conn == s[1].Conn) != c.again {
+				t.Fatalf("connections %d and %d; used again should be %v", s[0].Conn, s[1].Conn, c.again)
+			}
+		})
+	}
+}
+
+// TestExcessLater: noise that comes when nothing is out ends the connection, and never is an answer.
+func TestExcessLater(t *testing.T) {
+	first := make(chan net.Conn, 1)
+	n := newNode(t, func(s standin.Seen) standin.Reply {
+		if s.Body == "first" {
+			return standin.Reply{Text: standin.Served("one"), Then: func(c net.Conn) { first <- c }}
+		}
+		return standin.Reply{Text: standin.Served("two")}
+	})
+	r := newRig(t, 10, n.Addr())
+	r.send("a", "first")
+	<-r.out
+	c := <-first
+	if _, err := c.Write([]byte(standin.Served("wrong"))); err != nil {
+		t.Fatal(err)
+	}
+	r.send("a", "second")
+	if o := <-r.out; string(o.Data.B) != "two" {
+		t.Fatalf("got %q", o.Data.B)
+	}
+	if s := n.Seen(2); s[1].Conn == 1 {
+		t.Fatal("the connection with noise on it was used again")
+	}
+}
+
+func TestPassedOn(t *testing.T) {
+	n := newNode(t, always(standin.Served("x", "X-Meter: 85", "Server-Load: latency_ms=14.5,util=0.2,queue=3")))
+	r := newRig(t, 10, n.Addr())
+	r.send("a", "body")
+	if o := <-r.out; o.VolumeUse != 86 || !slices.Equal(o.Load, []float64{3, 14.5}) {
+		t.Errorf("%+v", o)
+	}
+	s := n.Seen(1)[0]
+	if s.Method != "PUT" || s.Target != "/api/v/i" || s.ID != "0123456789abcdef" || s.Key != "k" || s.Body != "body" || s.Left == "" {
+		t.Errorf("%+v", s)
+	}
+	for _, bad := range []string{"queue=3", "queue=x,latency_ms=1", "queue=1,queue=2,latency_ms=1", "queue=-1,latency_ms=1", "=", "\x80"} {
+		if l := report(bad, []string{"queue", "latency_ms"}); l != nil {
+			t.Errorf("%q is taken as %v", bad, l)
+		}
+	}
+	for _, bad := range []string{"-1", "1e9", "x", "99999999999", ""} {
+		if m := meter(bad); m != 0 {
+			t.Errorf("use %q is taken as %d", bad, m)
+		}
+	}
+}
+
+// TestEnds has connections end in each way, before and after the request's last byte.
+func TestEnds(t *testing.T) {
+	t.Run("refused", func(t *testing.T) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := ln.Addr().String()
+		ln.Close()
+		r := newRig(t, 10, addr)
+		r.send("a", "x")
+		if o := <-r.out; o.Result != control.Unreachable {
+			t.Fatalf("%+v", o)
+		}
+	})
+	for _, c := range []struct {
+		name  string
+		reply standin.Reply
+	}{
+		{"reset after the last byte", standin.Reply{Then: standin.Hang}},
+		{"closed after the last byte", standin.Reply{Then: func(c net.Conn) { c.Close() }}},
+		{"reset in the answer", standin.Reply{Text: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", Then: standin.Hang}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNode(t, func(standin.Seen) standin.Reply { return c.reply })
+			r := newRig(t, 10, n.Addr())
+			r.send("a", "x")
+			if o := <-r.out; o.Result != control.Reset {
+				t.Fatalf("%+v", o)
+			}
+			if k := len(n.Seen(1)); k != 1 {
+				t.Fatalf("the request came %d times", k)
+			}
+		})
+	}
+	t.Run("reset before the last byte", func(t *testing.T) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		r := newRig(t, 10, ln.Addr().String())
+		r.send("a", strings.Repeat("x", 32<<20)) // more than the kernel takes
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		standin.Hang(c)
+		if o := <-r.out; o.Result == control.Done || o.Result == control.Busy {
+			t.Fatalf("%+v", o)
+		}
+	})
+}
+
+// TestIdleClosed: a node that has closed an idle connection does not cost the next request a reset.
+func TestIdleClosed(t *testing.T) {
+	closed := make(chan bool, 1)
+	n := newNode(t, func(s standin.Seen) standin.Reply {
+		if s.Body == "first" {
+			return standin.Reply{Text: standin.Served("x"), Then: func(c net.Conn) { c.Close(); closed <- true }}
+		}
+		return standin.Reply{Text: standin.Served("x")}
+	})
+	r := newRig(t, 10, n.Addr())
+	r.send("a", "first")
+	<-r.out
+	<-closed
+	r.send("a", "second")
+	if o := <-r.out; o.Result != control.Done {
+		t.Fatalf("%+v", o)
+	}
+}
+
+// TestDrop: a given-up attempt's connection is closed, and one that waits leaves no trace.
+func TestDrop(t *testing.T) {
+	n := newNode(t, func(s standin.Seen) standin.Reply { return standin.Reply{} })
+	r := newRig(t, 1, n.Addr())
+	one := r.send("a", "x")
+	n.Seen(1)
+	two := r.send("a", "y") // there is no room for its connection
+	r.Drop(two)
+	r.Drop(one)
+	n.Alone(0)
+	if s := r.counts(); s.Out != 0 || s.Waiting != 0 || s.Conns != 0 || s.Given != 1 || s.Written != 1 {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// TestNoRoomYet: an attempt for which there is no descriptor goes out when another has ended.
+func TestNoRoomYet(t *testing.T) {
+	release := make(chan bool)
+	slow := newNode(t, func(standin.Seen) standin.Reply { <-release; return standin.Reply{Text: standin.Served("x")} })
+	quick := newNode(t, always(standin.Served("y")))
+	r := newRig(t, 1, slow.Addr(), quick.Addr())
+	r.send("a", "x")
+	slow.Seen(1)
+	r.send("b", "y")
+	close(release)
+	for range 2 {
+		if o := <-r.out; o.Result != control.Done {
+			t.Fatalf("%+v", o)
+		}
+	}
+	if s := r.counts(); s.Conns > 1 {
+		t.Fatalf("%d connections", s.Conns)
+	}
+}
+
+// TestMoved: a node that is told at another address is not reached at the former one any more.
+func TestMoved(t *testing.T) {
+	old, new := newNode(t, always(standin.Served("old"))), newNode(t, always(standin.Served("new")))
+	r := newRig(t, 10, old.Addr())
+	r.send("a", "x")
+	<-r.out
+	r.Nodes([]host.Node{{Addr: new.Addr(), Node: control.Node{ID: "a"}}})
+	r.send("a", "x")
+	if o := <-r.out; string(o.Data.B) != "new" {
+		t.Fatalf("%q answered", o.Data.B)
+	}
+}
+
+// TestFlood: an answer that keeps coming costs no memory, as its connection is closed.
+func TestFlood(t *testing.T) {
+	n := newNode(t, func(standin.Seen) standin.Reply {
+		return standin.Reply{Text: "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", Then: func(c net.Conn) {
+			p := make([]byte, 1<<20)
+			for range 3000 {
+				if _, err := c.Write(p); err != nil {
+					return
+				}
+			}
+		}}
+	})
+	r := newRig(t, 10, n.Addr())
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 5 {
+		r.send("a", "x")
+		if o := <-r.out; o.Result != control.Error {
+			t.Fatalf("%+v", o)
+		}
+	}
+	n.Alone(0)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 8<<20 {
+		t.Fatalf("%d bytes more", grown)
+	}
+}
+
+// TestNodesForEver: nodes that come and go for ever leave nothing behind.
+func TestNodesForEver(t *testing.T) {
+	n := newNode(t, always(standin.Served("x")))
+	r := newRig(t, 10)
+	for i := range 500 {
+		id := string(rune('a'+i%26)) + strings.Repeat("x", i/26)
+		r.Nodes([]host.Node{{Addr: n.Addr(), Node: control.Node{ID: id}}})
+		r.send(id, "x")
+		if o := <-r.out; o.Result != control.Done {
+			t.Fatalf("%+v", o)
+		}
+	}
+	r.Nodes(nil)
+	n.Alone(0)
+	done := make(chan [2]int)
+	r.loop.Do(func() { done <- [2]int{len(r.nodes), len(r.tries)} })
+	if left := <-done; left[0] > 1 || left[1] != 0 {
+		t.Fatalf("%d nodes and %d attempts are remembered", left[0], left[1])
+	}
+}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -55,12 +55,13 @@
 	opt    Options
 	rules  rules
 	ln     net.Listener
-	cancel context.CancelFunc
+	cancel context.CancelFunc // ends looking after connections
 	done   sync.WaitGroup
 
 	mu    sync.Mutex // guards taken
 	room  *sync.Cond
 	taken int // connections accepted and not yet closed
+	deaf  bool
 
 	// the rest belongs to the loop
 	conns    map[*conn]bool
@@ -93,7 +94,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.done.Add(2)
-	go func() { defer f.done.Done(); f.accept(ctx) }()
+	go func() { defer f.done.Done(); f.accept() }()
 	go func() { defer f.done.Done(); opt.Loop.Every(ctx, lookEvery, f.look) }()
 	return f, nil
 }
@@ -112,13 +113,17 @@
 
 // accept takes new connections as long as there is room for them. Guards against running out of
 // descriptors: what is over the ceiling waits in the kernel until another connection has gone.
-func (f *Front) accept(ctx context.Context) {
-	for ctx.Err() == nil {
+func (f *Front) accept() {
+	for {
 		f.mu.Lock()
-		for f.taken >= f.opt.Conns && ctx.Err() == nil {
+		for f.taken >= f.opt.Conns && !f.deaf {
 			f.opt.Loop.Do(f.makeRoom)
 			f.room.Wait()
 		}
+		if f.deaf {
+			f.mu.Unlock()
+			return
+		}
 		f.taken++
 		f.mu.Unlock()
 		c, err := f.ln.Accept()
@@ -234,16 +239,17 @@
 
 // Deaf ends listening.
 func (f *Front) Deaf() {
-	f.cancel()
-	_ = f.ln.Close()
 	f.mu.Lock()
+	f.deaf = true
 	f.room.Broadcast()
 	f.mu.Unlock()
+	_ = f.ln.Close()
 }
 
 // Close ends listening and waits for what runs beside the loop. The connections end with the loop.
 func (f *Front) Close() {
 	f.Deaf()
+	f.cancel()
 	f.done.Wait()
 }
 
--- /dev/null
+++ b/internal/front/http/front_test.go
@@ -0,0 +1,500 @@
+package http
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"eiderhold/control"
+	"eiderhold/internal/buffer"
+	"eiderhold/internal/host"
+	"eiderhold/internal/http1"
+	"eiderhold/internal/loop"
+)
+
+// fakeHost takes requests and answers as a test says. Its clock is the test's.
+type fakeHost struct {
+	mu    sync.Mutex
+	now   time.Duration
+	next  uint64
+	full  bool
+	taken chan *host.Request
+	left  chan uint64
+}
+
+func (h *fakeHost) Submit(r *host.Request) (uint64, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.full {
+		return 0, host.ErrFull
+	}
+	h.next++
+	h.taken <- r
+	return h.next, nil
+}
+
+func (h *fakeHost) Leave(id uint64) { h.left <- id }
+
+func (h *fakeHost) Now() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.now
+}
+
+func (h *fakeHost) pass(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.now += d
+}
+
+type rig struct {
+	*Front
+	t    *testing.T
+	host *fakeHost
+}
+
+func newRig(t *testing.T, conns int) *rig {
+	t.Helper()
+	l, err := loop.Start(slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &fakeHost{taken: make(chan *host.Request, 10_000), left: make(chan uint64, 10_000)}
+	f, err := Start(Options{Listen: "127.0.0.1:0", Conns: conns, Bytes: 1 << 20, Host: h, Ready: func() bool { return true }, Loop: l,
+		Settings: control.Settings{Shards: 8, MostUnits: 6, Plans: []control.Plan{{Name: "gold"}}, Classes: []control.Class{
+			{Name: "read"}, {Name: "write", Effect: control.Keyed, Group: control.GroupCell, Writes: true}}},
+		Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		f.Close()
+		if err := l.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return &rig{f, t, h}
+}
+
+// client is one connection, read with the standard library.
+type client struct {
+	net.Conn
+	r *bufio.Reader
+	t *testing.T
+}
+
+func (r *rig) dial() *client {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.Addr())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	return &client{c, bufio.NewReader(c), r.t}
+}
+
+// send writes; that the front has closed meanwhile is no error.
+func (c *client) send(text string) { _, _ = io.WriteString(c, text) }
+
+// answer reads an answer; status 0 means that the connection ended without one.
+func (c *client) answer() (status int, body string, h http.Header) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return 0, "", nil
+	}
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if resp.Close { // the library takes the field out
+		resp.Header.Set("Connection", "close")
+	}
+	return resp.StatusCode, string(b), resp.Header
+}
+
+// ended waits for the connection's end.
+func (c *client) ended() { _, _ = io.Copy(io.Discard, c.r) }
+
+const (
+	path = "/api/00000003b4d60021/7f3a9c21e0b4d655"
+	good = "Request-Class: read\r\nX-Storage-Class: gold\r\nRequest-Timeout-Ms: 480\r\nX-Extent: units=2,shard=5,hosts=3\r\n"
+)
+
+func get(id string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: o\r\nRequest-Id: " + id + "\r\n" + good + "\r\n"
+}
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+func served(text string) host.Answer {
+	b := buffer.Get(len(text))
+	copy(b.B, text)
+	return host.Answer{Kind: host.Served, Data: b}
+}
+
+// TestKinds: a request is read as it is meant, and each final answer is told as what it is.
+func TestKinds(t *testing.T) {
+	r := newRig(t, 10)
+	c := r.dial()
+	c.send("PUT " + path + "?q=1 HTTP/1.1\r\nHost: o\r\nRequest-Id: " + id(1) + "\r\nRequest-Class: write\r\nX-Storage-Class: gold\r\n" +
+		"Request-Timeout-Ms: 480\r\nX-Extent: hosts=3, units=1.5,shard=-1\r\nIdempotency-Key: kk\r\nClient-Retry: 1\r\nContent-Length: 4\r\n\r\nbody")
+	q := <-r.host.taken
+	if q.Class != "write" || q.Plan != "gold" || q.Volume != "00000003b4d60021" || q.Item != "7f3a9c21e0b4d655" || q.Units != 1.5 ||
+		q.Shard != control.AnyShard || q.Hosts != 3 || q.Expires != 480*time.Millisecond || !q.Retry || q.Message.Key != "kk" ||
+		string(q.Message.Body) != "body" || q.Message.Target != path+"?q=1" || q.Message.ID != id(1) || q.Message.Method != "PUT" {
+		t.Fatalf("%+v %+v", q, q.Message)
+	}
+	q.Answer(served("\x00data\r\n"))
+	if s, body, _ := c.answer(); s != 200 || body != "\x00data\r\n" {
+		t.Fatalf("%d %q", s, body)
+	}
+	c.send(get(id(2)))
+	(<-r.host.taken).Answer(host.Answer{Kind: host.Refused, RetryAfter: 125 * time.Millisecond})
+	if s, _, h := c.answer(); s != 503 || h.Get("Retry-After") != "0.125" {
+		t.Fatalf("%d %v", s, h)
+	}
+	c.send(get(id(3)))
+	(<-r.host.taken).Answer(host.Answer{Kind: host.Failed, Cause: "why"})
+	if s, _, h := c.answer(); s != 504 || h.Get("Retry-After") != "" {
+		t.Fatalf("%d %v", s, h)
+	}
+	c.send("GET /_health HTTP/1.1\r\nHost: o\r\n\r\n")
+	if s, _, _ := c.answer(); s != 200 {
+		t.Fatalf("health: %d", s)
+	}
+	r.host.full = true
+	c.send(get(id(4)))
+	if s, _, _ := c.answer(); s != 503 {
+		t.Fatalf("at the ceiling of open requests: %d", s)
+	}
+}
+
+// TestBadClients: each gets its error and a closed connection, nothing reaches the host, and a good client
+// is served beside.
+func TestBadClients(t *testing.T) {
+	change := func(old, new string) string { return strings.Replace(get(id(1)), old, new, 1) }
+	put := "PUT " + path + " HTTP/1.1\r\nHost: o\r\nRequest-Id: " + id(1) + "\r\n" + strings.Replace(good, "read", "write", 1)
+	r := newRig(t, 100)
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"noise", "\x00\x01\xff\xfe", 400},
+		{"a head that never ends", "GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 1<<20), 431},
+		{"lines without CR", "GET / HTTP/1.1\nA: b\n\n", 400},
+		{"both framings", put + "Idempotency-Key: k\r\nContent-Length: 30\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + get(id(9)), 400},
+		{"chunked", put + "Idempotency-Key: k\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 411},
+		{"negative length", put + "Content-Length: -1\r\n\r\n", 400},
+		{"huge length", put + "Content-Length: 99999999999999999999\r\n\r\n", 400},
+		{"60 MB", put + "Idempotency-Key: k\r\nContent-Length: 60000000\r\n\r\n" + strings.Repeat("x", 1<<20), 413},
+		{"no key", put + "Content-Length: 1\r\n\r\nx", 400},
+		{"class", change("Class: read", "Class: none"), 400},
+		{"plan", change("gold", "tin"), 400},
+		{"deadline", change("480", "soon"), 400},
+		{"deadline 0", change("480", "0"), 400},
+		{"deadline negative", change("480", "-5"), 400},
+		{"deadline for ever", change("480", "99999999999"), 400},
+		{"no id", change("Request-Id", "X-Id"), 400},
+		{"short id", change(id(1), "12"), 400},
+		{"id of no digits", change(id(1), "zzzzzzzzzzzzzzzz"), 400},
+		{"two ids", change("Host: o", "Request-Id: "+id(2)), 400},
+		{"path", change(path, "/api/xy"), 404},
+		{"path without slash", change(path, "api"), 400},
+		{"shard", change("shard=5", "shard=8"), 400},
+		{"units", change("units=2", "units=NaN"), 400},
+		{"no hosts", change(",hosts=3", ""), 400},
+		{"method", change("GET", "PUT"), 405},
+		{"read with a body", change("Host: o", "Content-Length: 1"), 400},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bad := r.dial()
+			go bad.send(c.text)
+			if s, body, _ := bad.answer(); s != c.status {
+				t.Fatalf("%d %q, expected %d", s, body, c.status)
+			}
+			bad.ended()
+		})
+	}
+	if len(r.host.taken) != 0 {
+		t.Fatalf("%d requests reached the host", len(r.host.taken))
+	}
+	c := r.dial()
+	c.send(get(id(7)))
+	(<-r.host.taken).Answer(served("x"))
+	if s, _, _ := c.answer(); s != 200 {
+		t.Fatalf("%d", s)
+	}
+}
+
+// TestIDInUse: the id of a request that is open gets its error, and the open one its answer.
+func TestIDInUse(t *testing.T) {
+	r := newRig(t, 10)
+	a, b := r.dial(), r.dial()
+	a.send(get(id(1)))
+	q := <-r.host.taken
+	b.send(get(id(1)))
+	if s, _, _ := b.answer(); s != 409 {
+		t.Fatalf("%d", s)
+	}
+	q.Answer(served("mine"))
+	if s, body, _ := a.answer(); s != 200 || body != "mine" {
+		t.Fatalf("%d %q", s, body)
+	}
+}
+
+// TestPipelined: further requests wait until the one before has its answer, and get theirs in order.
+func TestPipelined(t *testing.T) {
+	r := newRig(t, 10)
+	c := r.dial()
+	for i := range 50 {
+		c.send(get(id(i)))
+	}
+	for i := range 50 {
+		q := <-r.host.taken
+		if q.Message.ID != id(i) || len(r.host.taken) != 0 {
+			t.Fatalf("%s, and %d more at once", q.Message.ID, len(r.host.taken))
+		}
+		q.Answer(served(q.Message.ID))
+		if s, body, _ := c.answer(); s != 200 || body != id(i) {
+			t.Fatalf("%d %q", s, body)
+		}
+	}
+}
+
+// TestTooMuchBehind: who sends on and on behind an open request is served that one, and then leaves; what
+// it sent meanwhile is not held.
+func TestTooMuchBehind(t *testing.T) {
+	r := newRig(t, 10)
+	c := r.dial()
+	c.send(get(id(1)))
+	q := <-r.host.taken
+	go c.send(strings.Repeat("x", 4<<20))
+	for doomed := false; !doomed; {
+		got := make(chan bool)
+		r.opt.Loop.Do(func() {
+			one := false
+			for c := range r.conns {
+				one = c.doomed
+				if r.held > heldMost {
+					r.t.Errorf("%d bytes held", r.held)
+				}
+			}
+			got <- one
+		})
+		doomed = <-got
+	}
+	q.Answer(served("x"))
+	if s, _, h := c.answer(); s != 200 || h.Get("Connection") != "close" {
+		t.Fatalf("%d %v", s, h)
+	}
+	c.ended()
+}
+
+// TestLeaves: a client that closes has gone, in the middle of a request or after it.
+func TestLeaves(t *testing.T) {
+	r := newRig(t, 10)
+	c := r.dial()
+	c.send(get(id(1)))
+	<-r.host.taken
+	c.Close()
+	if got := <-r.host.left; got != 1 {
+		t.Fatalf("request %d left", got)
+	}
+	half := r.dial()
+	half.send(get(id(2))[:60])
+	half.Close()
+	r.empty()
+}
+
+// empty waits until no connection is left, and holds that nothing else is.
+func (r *rig) empty() {
+	r.t.Helper()
+	for {
+		got := make(chan Stats)
+		r.Stats(func(s Stats) { got <- s })
+		if s := <-got; s.Conns == 0 {
+			if s.Open != 0 || s.Held != 0 {
+				r.t.Fatalf("%+v", s)
+			}
+			return
+		}
+	}
+}
+
+// TestHalf: half a request is told that it came too late; silence is closed.
+func TestHalf(t *testing.T) {
+	r := newRig(t, 10)
+	half, silent := r.dial(), r.dial()
+	half.send(get(id(1))[:60])
+	r.begun(1, 2)
+	r.host.pass(2500 * time.Millisecond)
+	if s, _, _ := half.answer(); s != 408 {
+		t.Fatalf("%d", s)
+	}
+	if s, _, _ := silent.answer(); s != 0 {
+		t.Fatalf("silence is answered %d", s)
+	}
+	r.empty()
+}
+
+// begun waits until so many connections, of so many, have sent something.
+func (r *rig) begun(begun, all int) {
+	for {
+		got := make(chan [2]int)
+		r.opt.Loop.Do(func() {
+			n := 0
+			for c := range r.conns {
+				if len(c.in) > 0 {
+					n++
+				}
+			}
+			got <- [2]int{n, len(r.conns)}
+		})
+		if now := <-got; now == [2]int{begun, all} {
+			return
+		}
+	}
+}
+
+// TestSilentCrowd: those that hold connections by the hundred and say nothing make room for good clients,
+// and no more are held than allowed.
+func TestSilentCrowd(t *testing.T) {
+	const places = 20
+	r := newRig(t, places)
+	busy := r.dial()
+	busy.send(get(id(0)))
+	open := <-r.host.taken
+	for range 200 {
+		r.dial()
+	}
+	over := make(chan bool)
+	go func() { // time passes as long as the test lasts
+		for {
+			select {
+			case <-over:
+				return
+			case <-time.After(time.Millisecond):
+				r.host.pass(20 * time.Millisecond)
+			}
+		}
+	}()
+	defer close(over)
+	c := r.dial()
+	c.send(get(id(1)))
+	(<-r.host.taken).Answer(served("x"))
+	if s, _, _ := c.answer(); s != 200 {
+		t.Fatalf("%d", s)
+	}
+	if taken, of := r.places(); taken > of {
+		t.Fatalf("%d connections of %d", taken, of)
+	}
+	open.Answer(served("y"))
+	if s, body, _ := busy.answer(); s != 200 || body != "y" {
+		t.Fatalf("the request that was open all the time: %d %q", s, body)
+	}
+}
+
+// TestBytes: what all clients may have held together is bounded.
+func TestBytes(t *testing.T) {
+	r := newRig(t, 100)
+	head := "PUT " + path + " HTTP/1.1\r\nRequest-Id: " + id(1) + "\r\n" + strings.Replace(good, "read", "write", 1) +
+		fmt.Sprintf("Idempotency-Key: k\r\nContent-Length: %d\r\n\r\n", http1.MaxBody)
+	for range 20 {
+		go r.dial().send(head + strings.Repeat("x", http1.MaxBody-1))
+	}
+	for turned := uint64(0); turned == 0; {
+		got := make(chan Stats)
+		r.Stats(func(s Stats) { got <- s })
+		s := <-got
+		turned = s.Wrong
+		if s.Held > r.opt.Bytes {
+			t.Fatalf("%d bytes held", s.Held)
+		}
+	}
+}
+
+// TestDrain: what is open is answered and told that the connection ends; idle ones are closed, new ones
+// are served until the front is deaf.
+func TestDrain(t *testing.T) {
+	r := newRig(t, 10)
+	open, idle := r.dial(), r.dial()
+	open.send(get(id(1)))
+	q := <-r.host.taken
+	idle.send("GET /_health HTTP/1.1\r\n\r\n")
+	idle.answer()
+	r.Drain()
+	idle.ended()
+	late := r.dial()
+	late.send(get(id(2)))
+	(<-r.host.taken).Answer(served("late"))
+	if s, _, h := late.answer(); s != 200 || h.Get("Connection") != "close" {
+		t.Fatalf("%d %v", s, h)
+	}
+	late.ended()
+	r.Deaf()
+	if c, err := net.Dial("tcp", r.Addr()); err == nil {
+		c.Close()
+		t.Fatal("a deaf front takes connections")
+	}
+	q.Answer(served("x"))
+	if s, _, h := open.answer(); s != 200 || h.Get("Connection") != "close" {
+		t.Fatalf("%d %v", s, h)
+	}
+	open.ended()
+	r.empty()
+}
+
+// TestForEver: ids and connections that are always new leave nothing behind.
+func TestForEver(t *testing.T) {
+	r := newRig(t, 10)
+	go func() {
+		for q := range r.host.taken {
+			q.Answer(served("x"))
+		}
+	}()
+	defer close(r.host.taken)
+	c := r.dial()
+	for i := range 100_000 {
+		if i%100 == 0 {
+			c.Close()
+			c = r.dial()
+		}
+		c.send(get(id(i)))
+		if s, _, _ := c.answer(); s != 200 {
+			t.Fatalf("request %d: %d", i, s)
+		}
+	}
+	c.Close()
+	r.empty()
+	got := make(chan int)
+	r.opt.Loop.Do(func() { got <- len(r.conns) + len(r.ids) })
+	if n := <-got; n != 0 {
+		t.Fatalf("%d remembered", n)
+	}
+}
+
+// FuzzRead holds of any head that is taken: it names known things only.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(get(id(1))))
+	f.Add([]byte(strings.Replace(get(id(1)), "units=2", "units=1e309", 1)))
+	rs := newRules(control.Settings{Shards: 8, MostUnits: 6, Plans: []control.Plan{{Name: "gold"}}, Classes: []control.Class{{Name: "read"}}})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h, _, err := http1.ParseRequest(b, 0)
+		if err != nil {
+			return
+		}
+		r, err := rs.read(&h)
+		if err == nil && (r.Class != "read" || r.Plan != "gold" || !(r.Units > 0 && r.Units <= 6) || r.Shard < -1 || r.Shard > 7 ||
+			r.Expires <= 0 || !hexID(r.Volume) || !hexID(r.Item) || !hexID(r.Message.ID)) {
+			t.Fatalf("%q: %+v", b, r)
+		}
+	})
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -649,6 +649,33 @@
 	return s
 }
 
+// Believed is what the host believes of a node.
+type Believed struct {
+	control.Belief
+	Carried int // attempts that the host has out there: the backend has as many, on connections or waiting
+}
+
+// Beliefs has f called, on the host's loop, with what is believed of each node, by id; with nothing if the
+// controller does not tell. f must not block.
+func (h *Host) Beliefs(f func([]Believed)) {
+	h.post(call(func() {
+		teller, ok := h.ctl.(interface{ Beliefs() []control.Belief })
+		if !ok {
+			f(nil)
+			return
+		}
+		carried := map[string]int{}
+		for _, a := range h.out {
+			carried[a.node]++
+		}
+		var list []Believed
+		for _, b := range teller.Beliefs() {
+			list = append(list, Believed{b, carried[b.Node]})
+		}
+		f(list)
+	}))
+}
+
 // later runs f in the next turn: what an action brings about is an event of the
 // next batch, never of the one that is being answered.
 func (h *Host) later(f func()) { h.post(call(f)) }
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -141,6 +141,7 @@
 			return err
 		case <-every.C:
 			l.logStats()
+			l.logNodes()
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				l.log.Info("ending", "signal", s.String())
@@ -196,6 +197,27 @@
 	return l.loop.Stop()
 }
 
+// Compare has f called with what the host believes of each node beside what passed on its sockets.
+func (l *Live) Compare(f func([]host.Believed, map[string]backend.Passed)) {
+	l.host.Beliefs(func(believed []host.Believed) {
+		l.back.Passed(func(passed map[string]backend.Passed) { f(believed, passed) })
+	})
+}
+
+// logNodes writes a line for each node: believed, and passed.
+func (l *Live) logNodes() {
+	l.Compare(func(believed []host.Believed, passed map[string]backend.Passed) {
+		for _, n := range believed {
+			p := passed[n.Node]
+			l.log.Info("node", "uid", n.Node, "state", n.State, "cold", n.Cold, "suspect", n.Suspect,
+				slog.Group("believed", "out", n.Out, "held", n.Held, "carried", n.Carried, "window", n.Window, "round_trip", n.RoundTrip,
+					"backlog", n.Backlog, "unit", n.UnitTime, "errors", n.Errors),
+				slog.Group("passed", "out", p.Out, "waiting", p.Waiting, "idle", p.Idle, "opening", p.Opening, "written", p.Written,
+					"answered", p.Answered, "spoilt", p.Spoilt, "answer", p.Answer, "load", p.Load))
+		}
+	})
+}
+
 // logStats writes the counts since the start, and what is held now, as one line.
 func (l *Live) logStats() {
 	samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/memory/classes/total:bytes"},
--- /dev/null
+++ b/internal/live/live_test.go
@@ -0,0 +1,353 @@
+package live
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	backend "eiderhold/internal/backend/http"
+	"eiderhold/internal/host"
+	"eiderhold/internal/standin"
+)
+
+// config is a whole configuration.
+func config(discovery, known string) string {
+	return fmt.Sprintf(`{"name":"n3","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":64,"sockets":256},"known":%s,
+ "settings":{"balancers":1,"discovery":"pushed","classes":[
+  {"name":"read","effect":"retryable","slo_ms":2000,"deadline_ms":20000,"credit":1},
+  {"name":"write","effect":"dedup","dedup_scope":"cell","window_ms":1000,"slo_ms":2000,"deadline_ms":20000,"credit":1}],
+  "family_info":{"unit_mean":2,"most_units":6,"slots_total":8,"within_share":1,"idle_worth":0.1,"writes":[false,true]},
+  "limits":{"cancelling":true,"conn_idle_ms":30000,"dial_timeout_ms":250,"max_attempts":4,"max_retry_after_ms":2000},
+  "policies":[{"name":"gold","nominal":100,"pays":1,"shares":1}],"telemetry":{"fields":["queue","latency_ms"],"via":"answers"}}}`,
+		discovery, known)
+}
+
+// logged is a log that tests look into.
+type logged struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logged) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// has waits until the log holds a text.
+func (l *logged) has(text string) {
+	for {
+		l.mu.Lock()
+		ok := strings.Contains(l.b.String(), text)
+		l.mu.Unlock()
+		if ok {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+type rig struct {
+	*Live
+	t       *testing.T
+	agent   *standin.Agent
+	watch   standin.Watch
+	log     *logged
+	signals chan os.Signal
+	ended   chan error
+
+	mu   sync.Mutex
+	next string // the configuration that a reload reads
+}
+
+// newRig starts a host that knows these entries, and attends to signals.
+func newRig(t *testing.T, targets ...string) *rig {
+	t.Helper()
+	a := newAgent(t)
+	cfg, err := Parse([]byte(config(a.Addr(), standin.List(1, true, targets...))), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, agent: a, log: &logged{}, signals: make(chan os.Signal, 16), ended: make(chan error, 1)}
+	if r.Live, err = Start(cfg, slog.New(slog.NewTextHandler(r.log, nil))); err != nil {
+		t.Fatal(err)
+	}
+	r.watch = a.Next()
+	go func() {
+		r.ended <- r.Attend(r.signals, func() (*Config, error) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return Parse([]byte(r.next), func(string) string { return "" })
+		})
+	}()
+	t.Cleanup(func() {
+		r.signals <- syscall.SIGTERM
+		if err := <-r.ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+func newAgent(t *testing.T) *standin.Agent {
+	t.Helper()
+	a, err := standin.NewAgent("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Close)
+	return a
+}
+
+func newNode(t *testing.T, script func(standin.Seen) standin.Reply) *standin.HTTPNode {
+	t.Helper()
+	n, err := standin.NewHTTPNode(script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n
+}
+
+func echo(s standin.Seen) standin.Reply { return standin.Reply{Text: standin.Served("of " + s.ID)} }
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+// ask sends one read on a connection of its own; the answer comes on the channel.
+func (r *rig) ask(n, shard int) chan string {
+	answer := make(chan string, 1)
+	go func() { answer <- r.asked(n, shard) }()
+	return answer
+}
+
+func (r *rig) asked(n, shard int) string {
+	c, err := net.Dial("tcp", r.Addr())
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET /api/%s/%s HTTP/1.1\r\nHost: o\r\nRequest-Id: %s\r\nRequest-Class: read\r\nX-Storage-Class: gold\r\n"+
+		"Request-Timeout-Ms: 9000\r\nX-Extent: units=2,shard=%d,hosts=1\r\n\r\n", id(n%7), id(n), id(n), shard)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err.Error()
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(resp.StatusCode, " ", string(body))
+}
+
+func (r *rig) expect(answer chan string, want string) {
+	r.t.Helper()
+	if got := <-answer; !strings.HasPrefix(got, want) {
+		r.t.Fatalf("%q, expected %q", got, want)
+	}
+}
+
+func served(n int) string { return "200 of " + id(n) }
+
+// until asks again until an answer is as wanted: what has been told takes effect with the next turn.
+func (r *rig) until(n, shard int, want string) int {
+	for ; ; n++ {
+		if strings.HasPrefix(r.asked(n, shard), strings.Replace(want, "ID", id(n), 1)) {
+			return n
+		}
+	}
+}
+
+// TestList: a new uid at an old endpoint, a drain, a node that is gone: what is told binds at once.
+func TestList(t *testing.T) {
+	a, b := newNode(t, echo), newNode(t, echo)
+	r := newRig(t, standin.Target("s-1", a.Addr(), 0, "active", 0))
+	r.expect(r.ask(1, 0), served(1))
+	r.watch.Line(standin.List(2, false, standin.Target("s-1", "", 0, "left", 0), standin.Target("s-2", a.Addr(), 0, "active", 0),
+		standin.Target("s-3", b.Addr(), 1, "active", 0)))
+	n := r.until(2, 1, "200 of ID")
+	r.expect(r.ask(n+1, 0), served(n+1))
+	r.watch.Line(standin.List(3, false, standin.Target("s-3", b.Addr(), 1, "leaving", 0)))
+	n = r.until(n+2, 1, "503")
+	before := len(b.Seen(1))
+	r.expect(r.ask(n+1, 1), "503")
+	if after := len(b.Seen(1)); after != before {
+		t.Fatalf("a draining node got %d more", after-before)
+	}
+}
+
+// TestDrainWhileHeld: requests that are held for a node as it is told to drain are answered, and none of
+// them goes there any more.
+func TestDrainWhileHeld(t *testing.T) {
+	release := make(chan bool)
+	n := newNode(t, func(s standin.Seen) standin.Reply { <-release; return echo(s) })
+	r := newRig(t, standin.Target("s-1", n.Addr(), 0, "active", 0))
+	var answers []chan string
+	for i := range 40 {
+		answers = append(answers, r.ask(i, 0))
+	}
+	for settled := false; !settled; {
+		got := make(chan bool)
+		r.Compare(func(b []host.Believed, _ map[string]backend.Passed) {
+			got <- len(b) == 1 && b[0].Out > 0 && b[0].Held > 0
+		})
+		settled = <-got
+	}
+	r.watch.Line(standin.List(2, false, standin.Target("s-1", n.Addr(), 0, "leaving", 0)))
+	before := 0 // sent by the time that nothing is held any more
+	for held := 1; held > 0; {
+		got := make(chan host.Believed)
+		r.Compare(func(b []host.Believed, _ map[string]backend.Passed) { got <- b[0] })
+		b := <-got
+		held, before = b.Held, b.Out
+	}
+	close(release)
+	ok := 0
+	for i, a := range answers {
+		if got := <-a; got == served(i) {
+			ok++
+		} else if !strings.HasPrefix(got, "503") {
+			t.Fatalf("%q", got)
+		}
+	}
+	if after := len(n.Seen(0)); after != before || ok != after {
+		t.Fatalf("%d were out as the drain was told, %d in the end, %d served", before, after, ok)
+	}
+}
+
+// TestBeliefs: what the host believes is out is what is out on the sockets, while nodes hold answers back
+// and after; a node that answers nothing is suspect, with an answer it is so no longer.
+func TestBeliefs(t *testing.T) {
+	release := make(chan bool)
+	n := newNode(t, func(s standin.Seen) standin.Reply { <-release; return echo(s) })
+	r := newRig(t, standin.Target("s-1", n.Addr(), 0, "active", 0))
+	compare := func() (b host.Believed, p backend.Passed) {
+		got := make(chan bool)
+		r.Compare(func(bs []host.Believed, ps map[string]backend.Passed) { b, p = bs[0], ps["s-1"]; close(got) })
+		<-got
+		return b, p
+	}
+	var answers []chan string
+	for i := range 3 {
+		answers = append(answers, r.ask(i, 0))
+	}
+	n.Seen(3)
+	if b, p := compare(); b.Out != 3 || b.Carried != 3 || p.Out+p.Waiting != 3 || p.Written != 3 || p.Answered != 0 {
+		t.Fatalf("believed %+v, passed %+v", b, p)
+	}
+	for suspect := false; !suspect; {
+		b, p := compare()
+		if suspect = b.Suspect; b.Carried != p.Out+p.Waiting {
+			t.Fatalf("believed %+v, passed %+v", b, p)
+		}
+	}
+	close(release)
+	for i, a := range answers {
+		r.expect(a, served(i))
+	}
+	if b, p := compare(); b.Out != 0 || b.Carried != 0 || b.Suspect || p.Out+p.Waiting != 0 || p.Answered != 3 {
+		t.Fatalf("believed %+v, passed %+v", b, p)
+	}
+}
+
+// TestSilentNode: a node that takes requests and answers nothing costs no client its final answer.
+func TestSilentNode(t *testing.T) {
+	hold := make(chan bool)
+	n := newNode(t, func(standin.Seen) standin.Reply { <-hold; return standin.Reply{} })
+	defer close(hold)
+	r := newRig(t, standin.Target("s-1", n.Addr(), 0, "active", 0))
+	for i := range 30 {
+		r.ask(i, 0)
+	}
+	n.Seen(1)
+	if got := r.until(100, 0, "503"); got < 100 {
+		t.Fatal(got)
+	}
+}
+
+// TestHangup: SIGHUP under load follows discovery to its new address; a configuration that cannot be used
+// changes nothing; what is open is answered.
+func TestHangup(t *testing.T) {
+	release := make(chan bool)
+	n := newNode(t, func(s standin.Seen) standin.Reply { <-release; return echo(s) })
+	r := newRig(t, standin.Target("s-1", n.Addr(), 0, "active", 0))
+	open := r.ask(1, 0)
+	n.Seen(1)
+	r.next = `{"name":"n3","listen":"nowhere"}`
+	r.signals <- syscall.SIGHUP
+	r.log.has("the new configuration cannot be used")
+	b := newAgent(t)
+	r.mu.Lock()
+	r.next = config(b.Addr(), "null")
+	r.mu.Unlock()
+	r.signals <- syscall.SIGHUP
+	w := b.Next()
+	if w.From != 1 {
+		t.Fatalf("from %d", w.From)
+	}
+	w.Line(standin.List(2, false, standin.Target("s-2", n.Addr(), 1, "active", 0)))
+	close(release)
+	r.until(2, 1, "200 of ID")
+	r.expect(open, served(1))
+}
+
+// TestTerminate: at SIGTERM under load, and again, what is open is answered, late comers are served, and
+// the host ends without an error.
+func TestTerminate(t *testing.T) {
+	release := make(chan bool)
+	n := newNode(t, func(s standin.Seen) standin.Reply { <-release; return echo(s) })
+	r := newRig(t, standin.Target("s-1", n.Addr(), 0, "active", 0))
+	first := r.ask(1, 0)
+	n.Seen(1)
+	r.signals <- syscall.SIGTERM
+	r.signals <- syscall.SIGTERM
+	r.log.has("ending")
+	late := r.ask(2, 0)
+	n.Seen(2)
+	close(release)
+	r.expect(first, served(1))
+	r.expect(late, served(2))
+	err := <-r.ended
+	r.ended <- err // for the cleanup
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestBadConfigurations are refused with the place.
+func TestBadConfigurations(t *testing.T) {
+	good := config("127.0.0.1:1", "null")
+	none := func(string) string { return "" }
+	if _, err := Parse([]byte(good), none); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, place string }{
+		{`"name":"n3"`, `"name":""`, "name"},
+		{`"listen":"127.0.0.1:0"`, `"listen":"x"`, "listen"},
+		{`"discovery":"127.0.0.1:1"`, `"discovery":""`, "discovery"},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"xyz"`, "seed"},
+		{`"memory_mb":64`, `"memory_mb":-1`, "memory_mb"},
+		{`"sockets":256`, `"sockets":3`, "sockets"},
+		{`"effect":"dedup"`, `"effect":"odd"`, "effect"},
+		{`"conn_idle_ms":30000`, `"conn_idle_ms":-1`, "conn_idle_ms"},
+		{`{"name"`, `{{"name"`, "configuration"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if _, err := Parse([]byte(text), none); text == good || err == nil || !strings.Contains(err.Error(), c.place) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	if _, err := Load(none); err == nil || !strings.Contains(err.Error(), "BALANCER_CONFIG") {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,218 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// HTTPNode is a storage node of the platform, as a script: it reads requests with net/http, not with the
+// parser that is tested against it, and writes what the script says, byte by byte.
+type HTTPNode struct {
+	ln net.Listener
+
+	mu    sync.Mutex
+	seen  []Seen
+	conns map[net.Conn]bool
+	came  *sync.Cond
+	ended bool
+}
+
+// Seen is one request that came whole.
+type Seen struct {
+	Method, Target, ID, Key, Left string
+	Body                          string
+	Conn                          int // number of the connection, from 1
+}
+
+// Reply is what the script does with a request: Text is written as it is, then Then is done.
+type Reply struct {
+	Text string
+	Then func(net.Conn) // nil: the connection goes on
+}
+
+// Served is a good answer with a body.
+func Served(body string, fields ...string) string { return Answer(200, body, fields...) }
+
+// Answer is an answer with a status.
+func Answer(status int, body string, fields ...string) string {
+	head := ""
+	for _, f := range fields {
+		head += f + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), head, body)
+}
+
+// Hang closes a connection as a process that dies does, with a reset.
+func Hang(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// NewHTTPNode starts a node; script is called for each request, on its connection's goroutine.
+func NewHTTPNode(script func(Seen) Reply) (*HTTPNode, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in node: %w", err)
+	}
+	n := &HTTPNode{ln: ln, conns: map[net.Conn]bool{}}
+	n.came = sync.NewCond(&n.mu)
+	go func() {
+		for i := 1; ; i++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n.mu.Lock()
+			n.conns[c] = true
+			if n.ended {
+				_ = c.Close()
+			}
+			n.mu.Unlock()
+			go n.serve(c, i, script)
+		}
+	}()
+	return n, nil
+}
+
+func (n *HTTPNode) serve(c net.Conn, number int, script func(Seen) Reply) {
+	defer func() {
+		_ = c.Close()
+		n.mu.Lock()
+		delete(n.conns, c)
+		n.came.Broadcast()
+		n.mu.Unlock()
+	}()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		s := Seen{req.Method, req.RequestURI, req.Header.Get("Request-Id"), req.Header.Get("Idempotency-Key"),
+			req.Header.Get("Request-Timeout-Ms"), string(body), number}
+		n.mu.Lock()
+		n.seen = append(n.seen, s)
+		n.came.Broadcast()
+		n.mu.Unlock()
+		reply := script(s)
+		if _, err := io.WriteString(c, reply.Text); err != nil {
+			return
+		}
+		if reply.Then != nil {
+			reply.Then(c)
+		}
+	}
+}
+
+// Addr is where the node listens.
+func (n *HTTPNode) Addr() string { return n.ln.Addr().String() }
+
+// Seen waits until so many requests have come whole, and returns them.
+func (n *HTTPNode) Seen(atLeast int) []Seen {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for len(n.seen) < atLeast {
+		n.came.Wait()
+	}
+	return append([]Seen(nil), n.seen...)
+}
+
+// Alone waits until no more than so many connections are open.
+func (n *HTTPNode) Alone(atMost int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for len(n.conns) > atMost {
+		n.came.Wait()
+	}
+}
+
+// Close ends the node and its connections.
+func (n *HTTPNode) Close() {
+	_ = n.ln.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ended = true
+	for c := range n.conns {
+		_ = c.Close()
+	}
+}
+
+// Agent is the platform's discovery, as a script.
+type Agent struct {
+	ln      net.Listener
+	watches chan Watch
+}
+
+// Watch is one watch that was asked for.
+type Watch struct {
+	From uint64
+	Conn net.Conn
+}
+
+// Line sends one line as a chunk; an empty one is a beat.
+func (w Watch) Line(text string) {
+	fmt.Fprintf(w.Conn, "%x\r\n%s\n\r\n", len(text)+1, text)
+}
+
+// NewAgent starts discovery at an address; empty: any.
+func NewAgent(addr string) (*Agent, error) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("stand-in discovery: %w", err)
+	}
+	a := &Agent{ln: ln, watches: make(chan Watch, 16)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go a.serve(c)
+		}
+	}()
+	return a, nil
+}
+
+func (a *Agent) serve(c net.Conn) {
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil || req.URL.Path != "/catalog/members" {
+		_ = c.Close()
+		return
+	}
+	from, _ := strconv.ParseUint(req.URL.Query().Get("from"), 10, 64)
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	a.watches <- Watch{from, c}
+}
+
+// Next waits for the next watch.
+func (a *Agent) Next() Watch { return <-a.watches }
+
+// Addr is where discovery listens.
+func (a *Agent) Addr() string { return a.ln.Addr().String() }
+
+// Close takes no more watches; those that are open stay.
+func (a *Agent) Close() { _ = a.ln.Close() }
+
+// Target is one entry of the list as JSON.
+func Target(uid, endpoint string, shard int, state string, bootMS int64) string {
+	return fmt.Sprintf(`{"uid":%q,"endpoint":%q,"az":"a","model":"m","pod_group":%d,"state":%q,"capacity_hint":1.0,"boot_ms":%d}`,
+		uid, endpoint, shard, state, bootMS)
+}
+
+// List is one object of the watch.
+func List(rev uint64, all bool, targets ...string) string {
+	return fmt.Sprintf(`{"rev":%d,"all":%v,"targets":[%s]}`, rev, all, strings.Join(targets, ","))
+}
