A host told to end goes on serving its connections for as long as its answers come in time

In the logs every process starts 2.16 s after its predecessor's SIGTERM, whether that ended after 0.6 or 1.2 s; clients keep using open connections but find no new ones after 0.4 s. The host closed idle connections at once and ended after 0.58 s (internal/live, drain): 1.6 s in which its clients had none.

Ruled out: the new process is not slow to be ready (0.0 s), new configurations cost nothing (discovery followed within 1 ms), nothing was lost or sent again.

Change: parting, a module of its own, divides the time after the signal: all goes on for as long as a request can be answered 0.25 s before the first moment of SIGKILL (longest deadline, 3 s at most, plus 0.7 s); late requests get the time that is left. The last stats line is waited for.

--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -68,6 +68,8 @@
 // Stats are counts since the start; Conns and Out are of now.
 type Stats struct {
 	Dials, DialsFailed, Written, Answers, Spoilt, Excess, Stale, Given uint64
+	Rested                                                             uint64        // attempts that waited for a connection to rest
+	Queued                                                             time.Duration // that all attempts written had waited, in sum
 	Conns, Out, Waiting                                                int
 }
 
@@ -219,6 +221,10 @@
 			n.waiting = slices.Delete(n.waiting, 0, 1)
 			c.hand(t)
 			continue
+		case connpool.Resume:
+			if more {
+				b.stats.Rested++
+			}
 		case connpool.Evict:
 			c.pooled = false
 			b.loop.Close(c.g)
@@ -369,6 +375,7 @@
 		return
 	}
 	c.b.stats.Written++
+	c.b.stats.Queued += time.Since(t.at)
 	c.node.passed.Written++
 	c.wrote = c.b.now()
 	c.handed = whole
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -68,6 +68,7 @@
 	ids      map[string]*conn // of requests that are open, by Request-Id
 	held     int64
 	draining bool
+	until    time.Duration // requests end by then; 0: no such end
 	stats    Stats
 }
 
@@ -212,6 +213,10 @@
 	}
 }
 
+// Within has requests that come from now on end by a reading of the host's clock, even if their client would
+// wait longer.
+func (f *Front) Within(until time.Duration) { f.opt.Loop.Do(func() { f.until = until }) }
+
 // Drain has every answer end its connection, and ends those that have no request open.
 func (f *Front) Drain() {
 	f.opt.Loop.Do(func() {
@@ -411,6 +416,9 @@
 	if f.ids[r.Message.ID] != nil {
 		return c.answer(409, "", []byte("Request-Id: a request with it is open\n"))
 	}
+	if f.until > 0 {
+		r.Expires = min(r.Expires, max(time.Millisecond, f.until-f.opt.Host.Now()))
+	}
 	f.stats.Requests++
 	r.Answer = func(a host.Answer) { f.opt.Loop.Do(func() { c.final(r, a) }) }
 	id, err := f.opt.Host.Submit(r)
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -24,18 +24,14 @@
 	front "eiderhold/internal/front/http"
 	"eiderhold/internal/host"
 	"eiderhold/internal/loop"
+	"eiderhold/parting"
 )
 
 const (
 	// procs is how many threads may run Go code: the event loop sits in the kernel most of the time, and a
 	// thread that does takes its place with it for up to 10 ms (the runtime's watch over system calls).
-	procs = 4
-	// acceptFor is how long new connections are taken after SIGTERM: they keep coming for 0.2 to 0.4 s.
-	acceptFor = 550 * time.Millisecond
-	// restEvery is how often a host that ends looks whether all is answered.
-	restEvery = 20 * time.Millisecond
-	// endWithin is when a host that ends does so in any case: the platform kills it 3.7 s after SIGTERM.
-	endWithin  = 3500 * time.Millisecond
+	procs      = 4
+	restEvery  = 20 * time.Millisecond // how often a host that ends looks whether all is answered
 	statsEvery = 5 * time.Second
 	service    = "origin.svc" // as clients name it
 )
@@ -102,6 +98,9 @@
 		cancel()
 		return nil, err
 	}
+	for _, c := range cfg.control.Classes {
+		log.Info("class", "name", c.Name, "aim", c.Aim, "deadline", c.Deadline, "worth", c.Worth)
+	}
 	log.Info("serving", "listen", l.front.Addr(), "discovery", cfg.Discovery, "cores", cfg.Limits.Cores,
 		"memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets, "clients", split.Clients, "nodes", split.Nodes,
 		"requests", split.Requests, "hosts", cfg.control.Hosts)
@@ -162,31 +161,46 @@
 	}
 }
 
-// drain answers what is open and ends. New connections are taken for a while, as clients have not heard yet;
-// every answer says that its connection ends, and those without a request are closed.
+// drain ends the host as parting says.
 func (l *Live) drain() error {
-	l.front.Drain()
-	began := time.Now()
-	deaf := false
-	for time.Since(began) < endWithin {
-		time.Sleep(restEvery)
-		if !deaf && time.Since(began) >= acceptFor {
-			deaf = true
+	longest := time.Duration(0)
+	for _, c := range l.cfg.control.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	plan, began, clock := parting.New(longest), time.Now(), l.host.Now()
+	was := parting.Phase{Accept: true, Serve: true}
+	for {
+		ph := plan.At(time.Since(began))
+		if was.Accept && !ph.Accept {
 			l.front.Deaf()
 		}
-		if !deaf {
-			continue
+		if was.Within == 0 && ph.Within > 0 {
+			l.front.Within(clock + ph.Within)
+		}
+		if was.Serve && !ph.Serve {
+			l.front.Drain()
 		}
-		left := make(chan int, 1)
-		l.front.Rest(func(conns int) { left <- conns })
-		if <-left == 0 {
+		was = ph
+		if ph.Over {
+			l.log.Warn("ending with connections open, as the time is up")
 			break
 		}
+		if !ph.Serve && l.left() == 0 {
+			break
+		}
+		time.Sleep(restEvery)
 	}
 	l.logStats()
 	return l.Close()
 }
 
+// left closes connections without a request, and says how many there are still.
+func (l *Live) left() int {
+	left := make(chan int, 1)
+	l.front.Rest(func(conns int) { left <- conns })
+	return <-left
+}
+
 // Close ends everything.
 func (l *Live) Close() error {
 	l.front.Close()
@@ -226,8 +240,10 @@
 	h, d := l.host.Stats(), l.feed.State()
 	var cpu syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &cpu)
+	done := make(chan struct{})
 	l.front.Stats(func(f front.Stats) {
 		l.back.Stats(func(b backend.Stats) {
+			defer close(done)
 			l.log.Info("stats", "front", f, "nodes", b,
 				slog.Group("host", "requests", h.Requests, "served", h.Answers[host.Served], "refused", h.Answers[host.Refused],
 					"failed", h.Answers[host.Failed], "attempts", h.Attempts, "open", h.Open, "out", h.Out, "turns", h.Turns,
@@ -240,4 +256,5 @@
 					"user", time.Duration(cpu.Utime.Nano()), "system", time.Duration(cpu.Stime.Nano())))
 		})
 	})
+	<-done
 }
