While there is little room a client's connection ends with its answer

Cause: headroom let idle connections stand for 2 s and made room one by one, by what had idled for 250 ms, when a client was already at the door.

--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -9,8 +9,8 @@
 // door is for those who hold connections and ask nothing.
 const (
 	fixed       = 28   // descriptors of the process itself: standard ones, loops, listener, discovery, spare
-	clientsPart = 0.48 // of the descriptors that are left
-	nodesPart   = 0.42 // the rest is for sockets that are handed from one owner to another
+	clientsPart = 0.58 // of the descriptors that are left
+	nodesPart   = 0.34 // the rest is for sockets that are handed from one owner to another
 	heapPart    = 0.55 // of the memory: the collector works the harder the nearer it comes to it
 	bytesPart   = 0.12 // of the memory: bytes of requests held
 	requestSize = 8 << 10
@@ -58,6 +58,7 @@
 	shortWithin = 2 * time.Second
 	// silentWithin is for one that never said anything while there is none: a client sends as it connects.
 	silentWithin = 300 * time.Millisecond
+	keepRoom     = 0.6  // part of the places taken from which on a connection ends with its answer
 	littleRoom   = 0.75 // part of the places taken from which on there is little room
 )
 
@@ -91,6 +92,12 @@
 	return Stay
 }
 
+// Keep says whether a connection goes on after an answer, of so many of so many places taken. Guards against
+// clients that ask once and stay: they would hold the places of those that ask, and to find out who stays
+// takes longer than a new connection. Who is told with the answer sends nothing into a connection that ends.
+// Harm: while there is little room, clients connect anew for each request.
+func Keep(taken, places int) bool { return float64(taken) < keepRoom*float64(places) }
+
 // Rank orders connections where none of the above makes room and one more client is at the door: the
 // highest goes first. Those whose request is open have none. Those that came and said nothing go before
 // those that are half through a first request, and these before those between requests.
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -63,3 +63,10 @@
 		}
 	}
 }
+
+// TestKeep: connections go on while there is room, and end with their answers well before there is none.
+func TestKeep(t *testing.T) {
+	if !Keep(1, 100) || !Keep(59, 100) || Keep(60, 100) || Keep(100, 100) {
+		t.Error("connections are kept at the wrong places")
+	}
+}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -470,7 +470,7 @@
 
 // answer writes one answer.
 func (c *conn) answer(status int, retryAfter string, body []byte) gnet.Action {
-	end := c.close || c.doomed || c.f.draining
+	end := c.close || c.doomed || c.f.draining || !headroom.Keep(c.f.places())
 	b := make([]byte, 0, 192+len(body))
 	b = http1.AppendStatus(b, status)
 	b = http1.AppendInt(b, "Content-Length", int64(len(body)))
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -402,6 +402,34 @@
 	}
 }
 
+// TestAskOnceAndStay: clients that ask once and keep their connection for good, many more than there are
+// places, keep no one from being served: while there is little room an answer ends its connection.
+func TestAskOnceAndStay(t *testing.T) {
+	r := newRig(t, 20)
+	go func() {
+		for q := range r.host.taken {
+			q.Answer(served("x"))
+		}
+	}()
+	defer close(r.host.taken)
+	ended := 0
+	for i := range 200 {
+		c := r.dial()
+		c.send(get(id(i)))
+		s, _, h := c.answer()
+		if s != 200 {
+			t.Fatalf("client %d: %d", i, s)
+		}
+		if h.Get("Connection") == "close" {
+			c.ended()
+			ended++
+		}
+	}
+	if ended < 180 || ended == 200 {
+		t.Fatalf("%d connections of 200 ended with their answer, of 20 places", ended)
+	}
+}
+
 // TestBytes: what all clients may have held together is bounded.
 func TestBytes(t *testing.T) {
 	r := newRig(t, 100)
