--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// Again is when a client may come back that was turned away for want of room.
+const Again = 500 * time.Millisecond
+
 // Conn is what is known of a client's connection.
 type Conn struct {
 	Open   bool          // a request of it is open, or its answer not yet out
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -22,6 +22,7 @@
 
 	"eiderhold/connpool"
 	"eiderhold/control"
+	"eiderhold/internal/backend"
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
 	"eiderhold/internal/loop"
@@ -41,16 +42,10 @@
 	LoadFields  []string // names of the values of a load report, in the order in which the host takes them
 }
 
-// Owner hears of outcomes: the host.
-type Owner interface {
-	Ended(host.Outcome)
-	Probed(node string, result control.Result, took time.Duration, load []float64)
-}
-
 // Backend is the set of connections.
 type Backend struct {
 	set    Settings
-	owner  Owner
+	owner  backend.Owner
 	log    *slog.Logger
 	loop   *loop.Loop
 	ctx    context.Context
@@ -97,7 +92,7 @@
 }
 
 // Own names the owner. It must be called before the first Send.
-func (b *Backend) Own(o Owner) { b.owner = o }
+func (b *Backend) Own(o backend.Owner) { b.owner = o }
 
 // Close opens nothing any more; the connections end with the loop.
 func (b *Backend) Close() {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,13 +1,10 @@
 package discovery
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"net"
 	"runtime"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -24,24 +21,6 @@
 	return time.Duration(wall.UnixMilli()) * time.Millisecond
 }
 
-// logged is a log that tests look into.
-type logged struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *logged) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *logged) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 func newAgent(t *testing.T, addr string) *standin.Agent {
 	t.Helper()
 	a, err := standin.NewAgent(addr)
@@ -52,12 +31,12 @@
 	return a
 }
 
-func follow(t *testing.T, addr string) (*Feed, *hearer, *logged) {
+func follow(t *testing.T, addr string) (*Feed, *hearer, *standin.Log) {
 	return followWithin(t, addr, silence)
 }
 
-func followWithin(t *testing.T, addr string, silence time.Duration) (*Feed, *hearer, *logged) {
-	h, log := &hearer{make(chan host.List, 100)}, &logged{}
+func followWithin(t *testing.T, addr string, silence time.Duration) (*Feed, *hearer, *standin.Log) {
+	h, log := &hearer{make(chan host.List, 100)}, &standin.Log{}
 	f := New(addr, h, slog.New(slog.NewTextHandler(log, nil)))
 	f.silence = silence
 	ctx, cancel := context.WithCancel(context.Background())
@@ -117,9 +96,7 @@
 		runtime.Gosched()
 	}
 	for _, name := range []string{"odd", "neg", "nowhere"} {
-		if !strings.Contains(log.String(), name) {
-			t.Errorf("%s is not named", name)
-		}
+		log.Has(name)
 	}
 	w.Line(`{"rev":2,`)
 	if w = a.Next(); w.From != 1 {
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -424,7 +424,7 @@
 	id, err := f.opt.Host.Submit(r)
 	if err != nil { // nothing has run: trying again is harmless
 		f.stats.Refused++
-		return c.answer(503, "", []byte(err.Error()+"\n"))
+		return c.answer(503, seconds(headroom.Again), []byte(err.Error()+"\n"))
 	}
 	c.req, c.id = r, id
 	f.ids[r.Message.ID] = c
@@ -447,7 +447,7 @@
 		action = c.answer(200, "", a.Data.B)
 	case host.Refused:
 		f.stats.Refused++
-		action = c.answer(503, strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64), nil)
+		action = c.answer(503, seconds(a.RetryAfter), nil)
 	default:
 		f.stats.Failed++
 		action = c.answer(504, "", []byte(a.Cause+"\n"))
@@ -460,6 +460,9 @@
 	}
 }
 
+// seconds is a Retry-After.
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // refuse answers what cannot be taken. The connection ends with it: what follows could be part of it.
 func (c *conn) refuse(status int, text string) {
 	c.f.stats.Wrong++
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -172,8 +172,8 @@
 	}
 	r.host.full = true
 	c.send(get(id(4)))
-	if s, _, _ := c.answer(); s != 503 {
-		t.Fatalf("at the ceiling of open requests: %d", s)
+	if s, _, h := c.answer(); s != 503 || h.Get("Retry-After") != "0.500" {
+		t.Fatalf("at the ceiling of open requests: %d %v", s, h)
 	}
 }
 
--- a/internal/live/bench_test.go
+++ b/internal/live/bench_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime"
 	"testing"
 
 	"eiderhold/internal/standin"
@@ -14,6 +15,14 @@
 // BenchmarkRequest carries one read after another through a whole host, client and node on loopback. Both
 // are plain sockets that allocate nothing, so that what is counted is the host's.
 func BenchmarkRequest(b *testing.B) {
+	for _, clients := range []int{1, 64} {
+		b.Run(fmt.Sprint("clients=", clients), func(b *testing.B) { benchmark(b, clients) })
+	}
+}
+
+func benchmark(b *testing.B, clients int) {
+	before := runtime.GOMAXPROCS(0)
+	defer func() { runtime.GOMAXPROCS(before) }()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -55,34 +64,54 @@
 		b.Fatal(err)
 	}
 	defer l.Close()
-	c, err := net.Dial("tcp", l.Addr())
+	left := make(chan bool, clients)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range clients {
+		go func() {
+			if err := askOn(l.Addr(), i, b.N/clients+1); err != nil {
+				b.Error(err)
+			}
+			left <- true
+		}()
+	}
+	for range clients {
+		<-left
+	}
+}
+
+// askOn asks so many times on one connection.
+func askOn(addr string, client, times int) error {
+	c, err := net.Dial("tcp", addr)
 	if err != nil {
-		b.Fatal(err)
+		return err
 	}
 	defer c.Close()
 	r := bufio.NewReader(c)
-	request := []byte(fmt.Sprintf("GET /api/%s/%s HTTP/1.1\r\nHost: o\r\nRequest-Id: %s\r\nRequest-Class: read\r\nX-Storage-Class: gold\r\n"+
-		"Request-Timeout-Ms: 9000\r\nX-Extent: units=2,shard=0,hosts=1\r\n\r\n", id(1), id(2), id(3)))
-	b.ReportAllocs()
-	for b.Loop() {
+	request := fmt.Appendf(nil, "GET /api/%s/%s HTTP/1.1\r\nHost: o\r\nRequest-Id: %s\r\nRequest-Class: read\r\nX-Storage-Class: gold\r\n"+
+		"Request-Timeout-Ms: 9000\r\nX-Extent: units=2,shard=0,hosts=1\r\n\r\n", id(client%7), id(client), id(client))
+	for range times {
 		if _, err := c.Write(request); err != nil {
-			b.Fatal(err)
+			return err
 		}
 		length := 0
 		for {
 			line, err := r.ReadSlice('\n')
 			if err != nil {
-				b.Fatal(err)
+				return err
 			}
 			if len(line) <= 2 {
 				break
 			}
 			if v, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
-				length = int(v[0]-'0')*10 + int(v[1]-'0')
+				for _, d := range bytes.TrimSpace(v) {
+					length = length*10 + int(d-'0')
+				}
 			}
 		}
-		if _, err := r.Discard(length); err != nil || length != 32 {
-			b.Fatal(length, err)
+		if _, err := r.Discard(length); err != nil {
+			return err
 		}
 	}
+	return nil
 }
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -103,7 +103,7 @@
 	}
 	log.Info("serving", "listen", l.front.Addr(), "discovery", cfg.Discovery, "cores", cfg.Limits.Cores,
 		"memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets, "clients", split.Clients, "nodes", split.Nodes,
-		"requests", split.Requests, "hosts", cfg.control.Hosts)
+		"requests", split.Requests, "hosts", cfg.control.Hosts, "idle", cfg.conns.Idle, "dial_timeout", cfg.conns.DialTimeout)
 	return l, nil
 }
 
--- a/internal/live/live_test.go
+++ b/internal/live/live_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,7 +12,6 @@
 	"sync"
 	"syscall"
 	"testing"
-	"time"
 
 	backend "eiderhold/internal/backend/http"
 	"eiderhold/internal/host"
@@ -33,37 +31,12 @@
 		discovery, known)
 }
 
-// logged is a log that tests look into.
-type logged struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *logged) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-// has waits until the log holds a text.
-func (l *logged) has(text string) {
-	for {
-		l.mu.Lock()
-		ok := strings.Contains(l.b.String(), text)
-		l.mu.Unlock()
-		if ok {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 type rig struct {
 	*Live
 	t       *testing.T
 	agent   *standin.Agent
 	watch   standin.Watch
-	log     *logged
+	log     *standin.Log
 	signals chan os.Signal
 	ended   chan error
 	over    bool
@@ -80,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, agent: a, log: &logged{}, signals: make(chan os.Signal, 16), ended: make(chan error, 1)}
+	r := &rig{t: t, agent: a, log: &standin.Log{}, signals: make(chan os.Signal, 16), ended: make(chan error, 1)}
 	if r.Live, err = Start(cfg, slog.New(slog.NewTextHandler(r.log, nil))); err != nil {
 		t.Fatal(err)
 	}
@@ -289,7 +262,7 @@
 	n.Seen(1)
 	r.next = `{"name":"n3","listen":"nowhere"}`
 	r.signals <- syscall.SIGHUP
-	r.log.has("the new configuration cannot be used")
+	r.log.Has("the new configuration cannot be used")
 	b := newAgent(t)
 	r.mu.Lock()
 	r.next = config(b.Addr(), "null")
@@ -315,7 +288,7 @@
 	n.Seen(1)
 	r.signals <- syscall.SIGTERM
 	r.signals <- syscall.SIGTERM
-	r.log.has("ending")
+	r.log.Has("ending")
 	late := r.ask(2, 0) // connections go on being served
 	n.Seen(2)
 	close(release)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // HTTPNode is a storage node of the platform, as a script: it reads requests with net/http, not with the
@@ -216,3 +218,29 @@
 func List(rev uint64, all bool, targets ...string) string {
 	return fmt.Sprintf(`{"rev":%d,"all":%v,"targets":[%s]}`, rev, all, strings.Join(targets, ","))
 }
+
+// Log is a log that tests look into.
+type Log struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write takes a line.
+func (l *Log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// Has waits until the log holds a text.
+func (l *Log) Has(text string) {
+	for {
+		l.mu.Lock()
+		has := bytes.Contains(l.b.Bytes(), []byte(text))
+		l.mu.Unlock()
+		if has {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
