Bytes of open requests count as held; who holds most of half a request makes room

Found by reading the front again: bodies of requests that are open did not count towards the bytes that clients may have held (64 KiB each for every connection: up to 37 MB of 192, or 8 of 32); where bytes ran short the newcomer was turned away, so sixty clients that begin large bodies and stop would have cost every other client its request for 2 s; a request right behind one that the front answers itself waited until more bytes came; at the end a slow reader's connection could be closed under its answer.

Change: held from the first byte to the final answer; headroom.Yields says that who holds more of a request that is not whole goes; next goes on until a request is open. Tests: TestBytes, TestBodies, TestPipelinedAtOnce.

--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -37,6 +37,10 @@
 	}
 }
 
+// Yields says that who holds so many bytes of a request that is not whole goes, in the place of a newcomer with
+// so many, where there is no room for both. Guards against clients that begin large requests by the hundred.
+func Yields(holds, comes int) bool { return holds > comes }
+
 // Again is when a client may come back that was turned away for want of room.
 const Again = 500 * time.Millisecond
 
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -227,7 +227,7 @@
 
 func (f *Front) closeIdle() {
 	for c := range f.conns {
-		if c.req == nil && len(c.in) == 0 && !c.out {
+		if c.req == nil && len(c.in) == 0 && !c.out && !c.closing {
 			f.opt.Loop.Close(c.g)
 		}
 	}
@@ -264,12 +264,13 @@
 	g       gnet.Conn
 	in      []byte
 	looked  int
-	head    *http1.Request // of a request whose body is not whole
-	want    int            // bytes of head and body
+	headed  bool          // the head of a request is whole, its body may not be
+	pending *host.Request // read from it; nil: it asks for health
 	headLen int
-	pending *host.Request
+	want    int           // bytes of head and body
 	req     *host.Request // open
 	id      uint64        // of req, at the host
+	body    int           // bytes of req's body, held until its answer
 	close   bool          // after the answer
 	doomed  bool          // what comes is thrown away, and the connection ends with the answer
 	asked   bool
@@ -299,22 +300,45 @@
 	f := c.f
 	c.gone = true
 	delete(f.conns, c)
-	f.hold(c, 0)
+	f.drop(c)
 	if c.req != nil {
-		delete(f.ids, c.req.Message.ID)
 		f.stats.Left++
 		f.opt.Host.Leave(c.id)
-		c.req = nil
+		c.over()
 	}
 	f.free()
 }
 
-// hold books the bytes that a connection holds.
-func (f *Front) hold(c *conn, n int) {
-	f.held += int64(n - len(c.in))
-	if n == 0 {
-		c.in = nil
+// roomFor says whether so many more bytes may be held for a connection. Those who hold most of a request that
+// is not whole make room.
+func (f *Front) roomFor(c *conn, n int) bool {
+	for f.held+int64(n) > f.opt.Bytes {
+		var most *conn
+		for o := range f.conns {
+			if o != c && o.req == nil && !o.out && !o.closing && (most == nil || len(o.in) > len(most.in)) {
+				most = o
+			}
+		}
+		if most == nil || !headroom.Yields(len(most.in), len(c.in)+n) {
+			return false
+		}
+		most.refuse(503, "more bytes of requests held than allowed")
+		f.opt.Loop.Close(most.g)
 	}
+	return true
+}
+
+// drop throws away what a connection holds unread.
+func (f *Front) drop(c *conn) {
+	f.held -= int64(len(c.in))
+	c.in = nil
+}
+
+// over books that the request that was open is so no longer.
+func (c *conn) over() {
+	delete(c.f.ids, c.req.Message.ID)
+	c.f.held -= int64(c.body)
+	c.req, c.body = nil, 0
 }
 
 // Traffic takes bytes from the client. While a request is open the next one waits, up to what one may
@@ -330,43 +354,47 @@
 	if len(c.in) == 0 && c.req == nil && !c.out {
 		c.since = c.f.opt.Host.Now()
 	}
-	if busy := c.req != nil || c.out; busy && len(c.in)+len(p) > heldMost {
-		c.f.hold(c, 0)
+	busy := c.req != nil || c.out
+	short := !c.f.roomFor(c, len(p))
+	if busy && (short || len(c.in)+len(p) > heldMost) {
+		c.f.drop(c)
 		c.doomed, c.close = true, true
 		return gnet.None
 	}
-	c.f.held += int64(len(p))
-	c.in = append(c.in, p...)
-	if c.f.held > c.f.opt.Bytes && c.req == nil && !c.out {
+	if short {
 		c.refuse(503, "more bytes of requests held than allowed")
 		return gnet.Close
 	}
+	c.f.held += int64(len(p))
+	c.in = append(c.in, p...)
 	return c.next()
 }
 
-// next goes on with what has come, unless a request is open.
+// next goes on with what has come, until a request is open.
 func (c *conn) next() gnet.Action {
-	if c.req != nil || c.out || c.gone || len(c.in) == 0 {
-		return gnet.None
-	}
-	if c.pending == nil && c.head == nil {
-		h, n, err := http1.ParseRequest(c.in, c.looked)
-		if err == http1.ErrShort {
-			c.looked = len(c.in)
-			return gnet.None
+	for c.req == nil && !c.out && !c.closing && !c.gone && len(c.in) > 0 {
+		if !c.headed {
+			h, n, err := http1.ParseRequest(c.in, c.looked)
+			if err == http1.ErrShort {
+				c.looked = len(c.in)
+				return gnet.None
+			}
+			if err == nil {
+				err = c.begin(&h, n)
+			}
+			if err != nil {
+				c.refuse(statusOf(err), err.Error())
+				return gnet.Close
+			}
 		}
-		if err == nil {
-			err = c.begin(&h, n)
+		if len(c.in) < c.want {
+			return gnet.None
 		}
-		if err != nil {
-			c.refuse(statusOf(err), err.Error())
+		if c.whole() == gnet.Close {
 			return gnet.Close
 		}
 	}
-	if len(c.in) < c.want {
-		return gnet.None
-	}
-	return c.whole()
+	return gnet.None
 }
 
 // begin takes a head.
@@ -379,7 +407,7 @@
 	}
 	c.close = h.Close
 	c.headLen, c.want = n, n+int(h.Body.Length)
-	c.head = h
+	c.headed = true
 	if health(h) {
 		if string(h.Method) != "GET" {
 			return wrong(405, "method of /_health: expected GET")
@@ -406,7 +434,7 @@
 	if rest == 0 {
 		c.in = nil
 	}
-	c.head, c.pending, c.looked, c.asked = nil, nil, 0, true
+	c.headed, c.pending, c.looked, c.asked = false, nil, 0, true
 	if r == nil {
 		if f.opt.Ready() {
 			return c.answer(200, "", nil)
@@ -426,7 +454,8 @@
 		f.stats.Refused++
 		return c.answer(503, seconds(headroom.Again), []byte(err.Error()+"\n"))
 	}
-	c.req, c.id = r, id
+	c.req, c.id, c.body = r, id, len(r.Message.Body)
+	f.held += int64(c.body)
 	f.ids[r.Message.ID] = c
 	return gnet.None
 }
@@ -438,8 +467,7 @@
 		return
 	}
 	f := c.f
-	delete(f.ids, r.Message.ID)
-	c.req = nil
+	c.over()
 	var action gnet.Action
 	switch a.Kind {
 	case host.Served:
@@ -467,8 +495,12 @@
 func (c *conn) refuse(status int, text string) {
 	c.f.stats.Wrong++
 	c.close = true
-	c.f.hold(c, 0)
-	c.answer(status, "", []byte(text+"\n"))
+	c.f.drop(c)
+	again := ""
+	if status == 503 {
+		again = seconds(headroom.Again)
+	}
+	c.answer(status, again, []byte(text+"\n"))
 }
 
 // answer writes one answer.
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -269,6 +269,57 @@
 	}
 }
 
+// TestPipelinedAtOnce: requests that the front answers itself do not stop what came with them.
+func TestPipelinedAtOnce(t *testing.T) {
+	r := newRig(t, 10)
+	c := r.dial()
+	c.send("GET /_health HTTP/1.1\r\n\r\nGET /_health HTTP/1.1\r\n\r\n" + get(id(1)))
+	for range 2 {
+		if s, _, _ := c.answer(); s != 200 {
+			t.Fatalf("%d", s)
+		}
+	}
+	(<-r.host.taken).Answer(served("x"))
+	if s, body, _ := c.answer(); s != 200 || body != "x" {
+		t.Fatalf("%d %q", s, body)
+	}
+}
+
+// TestBodies: bodies of requests that are open count as held, until their answers.
+func TestBodies(t *testing.T) {
+	r := newRig(t, 100)
+	put := func(n int) string {
+		return "PUT " + path + " HTTP/1.1\r\nRequest-Id: " + id(n) + "\r\n" + strings.Replace(good, "read", "write", 1) +
+			fmt.Sprintf("Idempotency-Key: k\r\nContent-Length: %d\r\n\r\n", http1.MaxBody) + strings.Repeat("x", http1.MaxBody)
+	}
+	clients := make([]*client, 30) // twice what may be held
+	for i := range clients {
+		clients[i] = r.dial()
+		go clients[i].send(put(i))
+	}
+	turned := 0
+	for taken := 0; taken+turned < len(clients); {
+		got := make(chan Stats)
+		r.Stats(func(s Stats) { got <- s })
+		s := <-got
+		if s.Held > r.opt.Bytes+http1.MaxBody {
+			t.Fatalf("%d bytes held, %d allowed", s.Held, r.opt.Bytes)
+		}
+		taken, turned = int(s.Requests), int(s.Wrong)
+	}
+	if turned == 0 || len(r.host.taken) == 0 {
+		t.Fatalf("%d turned away, %d taken", turned, len(r.host.taken))
+	}
+	for len(r.host.taken) > 0 {
+		(<-r.host.taken).Answer(host.Answer{Kind: host.Failed})
+	}
+	for _, c := range clients {
+		c.answer()
+		c.Close()
+	}
+	r.empty()
+}
+
 // TestTooMuchBehind: who sends on and on behind an open request is served that one, and then leaves; what
 // it sent meanwhile is not held.
 func TestTooMuchBehind(t *testing.T) {
@@ -430,7 +481,8 @@
 	}
 }
 
-// TestBytes: what all clients may have held together is bounded.
+// TestBytes: what all clients may have held together is bounded, and those who begin large requests and do
+// not end them keep no one else from being served.
 func TestBytes(t *testing.T) {
 	r := newRig(t, 100)
 	head := "PUT " + path + " HTTP/1.1\r\nRequest-Id: " + id(1) + "\r\n" + strings.Replace(good, "read", "write", 1) +
@@ -438,7 +490,7 @@
 	for range 20 {
 		go r.dial().send(head + strings.Repeat("x", http1.MaxBody-1))
 	}
-	for turned := uint64(0); turned == 0; {
+	for turned := uint64(0); turned < 5; {
 		got := make(chan Stats)
 		r.Stats(func(s Stats) { got <- s })
 		s := <-got
@@ -447,6 +499,12 @@
 			t.Fatalf("%d bytes held", s.Held)
 		}
 	}
+	c := r.dial()
+	c.send(get(id(2)))
+	(<-r.host.taken).Answer(served("x"))
+	if s, _, _ := c.answer(); s != 200 {
+		t.Fatalf("%d", s)
+	}
 }
 
 // TestDrain: what is open is answered and told that the connection ends; idle ones are closed, new ones
