What an answer proves and what of the list is taken are modules of their own

Need: the adapters held decisions (which update of the list counts, how long a silent watch is waited for, what the end of a connection or an answer proves, how long a client may take over its answer). They are in nodelist, proof and headroom now, free of I/O, with tests of their own; discovery and the node connections drive them. What they decide is as before.

Checked: tests and races of all packages touched.

--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -46,7 +46,8 @@
 
 // Conn is what is known of a client's connection.
 type Conn struct {
-	Open   bool          // a request of it is open, or its answer not yet out
+	Open   bool          // a request of it is open
+	Taking bool          // its last answer is not yet out whole
 	Asked  bool          // it has brought a whole request before
 	Begun  bool          // a request has begun to come and is not whole
 	Opened time.Duration // when it came
@@ -63,6 +64,8 @@
 	// idleWithin is for a connection between requests while there is room; shortWithin while there is little.
 	idleWithin  = 20 * time.Second
 	shortWithin = 2 * time.Second
+	// takeWithin is for a client to take an answer. Guards against clients that ask and do not read.
+	takeWithin = 5 * time.Second
 	// silentWithin is for one that never said anything while there is none: a client sends as it connects.
 	silentWithin = 300 * time.Millisecond
 	keepRoom     = 0.6  // part of the places taken from which on a connection ends with its answer
@@ -85,6 +88,10 @@
 	switch {
 	case c.Open:
 		return Stay
+	case c.Taking && age >= takeWithin:
+		return Leave
+	case c.Taking:
+		return Stay
 	case c.Begun && !c.Asked && now-c.Opened >= beginWithin, c.Begun && c.Asked && age >= wholeWithin:
 		return Late
 	case c.Begun:
@@ -111,7 +118,7 @@
 func Rank(now time.Duration, c Conn) (rank float64, may bool) {
 	age := min(0.99, max(0, (now-c.Since).Seconds()/60))
 	switch {
-	case c.Open || c.Begun && c.Asked:
+	case c.Open || c.Taking || c.Begun && c.Asked:
 		return 0, false
 	case c.Asked && now-c.Since < shortWithin/8, !c.Asked && now-c.Opened < silentWithin:
 		return 0, false
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -29,6 +29,8 @@
 		want          Verdict
 	}{
 		{"a request is open", Conn{Open: true}, 99 * sec, 100, 100, Stay},
+		{"it takes its answer", Conn{Taking: true, Asked: true}, 4 * sec, 100, 100, Stay},
+		{"it takes no answer", Conn{Taking: true, Asked: true}, 5 * sec, 1, 100, Leave},
 		{"silent, new", Conn{}, 1 * sec, 1, 100, Stay},
 		{"silent for long", Conn{}, 3 * sec, 1, 100, Leave},
 		{"silent, and no room", Conn{}, 400 * time.Millisecond, 100, 100, Leave},
--- a/internal/backend/http/answer.go
+++ b/internal/backend/http/answer.go
@@ -10,6 +10,7 @@
 	"eiderhold/internal/buffer"
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
+	"eiderhold/proof"
 )
 
 const interimMost = 8 // 1xx answers in front of one
@@ -17,17 +18,17 @@
 // answer reads one answer. What is over a bound of http1, or ends where the connection does, is an error:
 // whether it is whole could not be told.
 type answer struct {
-	in       []byte // of the head, then the body
-	looked   int
-	interim  int
-	headed   bool
-	head     http1.Response // its fields are copied out as the head is read
-	notRun   bool
-	use      string
-	load     string
-	chunks   *http1.Chunks
-	body     []byte
-	reusable bool // nothing came behind it, and the connection goes on
+	in      []byte // of the head, then the body
+	looked  int
+	interim int
+	headed  bool
+	head    http1.Response // its fields are copied out as the head is read
+	notRun  bool
+	use     string
+	load    string
+	chunks  *http1.Chunks
+	body    []byte
+	behind  int // bytes that came behind it
 }
 
 // feed takes bytes; done says that the answer is whole.
@@ -66,14 +67,14 @@
 		out, rest, done, err := a.chunks.Feed(a.body, p)
 		a.body = out
 		if done {
-			a.reusable = len(rest) == 0 && !a.head.Close
+			a.behind = len(rest)
 		}
 		return done, err
 	default:
 		want := int(a.head.Body.Length) - len(a.body)
 		if len(p) >= want {
 			a.body = append(a.body, p[:want]...)
-			a.reusable = len(p) == want && !a.head.Close
+			a.behind = len(p) - want
 			return true, nil
 		}
 		a.body = append(a.body, p...)
@@ -103,16 +104,12 @@
 
 // outcome reads a whole answer as the protocol's table has it.
 func (a *answer) outcome(fields []string) host.Outcome {
-	o := host.Outcome{VolumeUse: meter(a.use), Load: report(a.load, fields)}
-	switch s := a.head.Status; {
-	case s == 200:
-		o.Result = control.Done
+	o := host.Outcome{Result: proof.OfAnswer(a.head.Status, a.notRun), VolumeUse: meter(a.use), Load: report(a.load, fields)}
+	if o.Result == control.Done {
 		o.Data = buffer.Get(len(a.body))
 		copy(o.Data.B, a.body)
-	case (s == 503 || s == 504) && a.notRun:
-		o.Result = control.Busy
-	default:
-		o.Result, o.Text = control.Error, "status "+strconv.Itoa(s)
+	} else {
+		o.Text = "status " + strconv.Itoa(a.head.Status)
 	}
 	return o
 }
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -26,6 +26,7 @@
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
 	"eiderhold/internal/loop"
+	"eiderhold/proof"
 )
 
 const (
@@ -316,20 +317,11 @@
 	busy   bool // in the pool's books
 	gone   bool
 	try    *try // out on it
-	handed handed
+	handed proof.Handed
 	wrote  time.Duration
 	answer answer
 }
 
-// handed is how far a request has come towards the kernel.
-type handed int
-
-const (
-	nothing handed = iota
-	partly
-	whole
-)
-
 // Opened makes it available.
 func (c *conn) Opened(g gnet.Conn) {
 	c.g, c.pooled = g, true
@@ -349,7 +341,7 @@
 func (c *conn) hand(t *try) {
 	m := t.Request.Message
 	c.try, t.conn = t, c
-	c.handed, c.answer = nothing, answer{in: c.answer.in[:0]}
+	c.handed, c.answer = proof.Nothing, answer{in: c.answer.in[:0]}
 	left := max(1, (t.Left - time.Since(t.at)).Milliseconds())
 	p := make([]byte, 0, 256+len(m.Target)+len(m.Body))
 	p = http1.AppendRequestLine(p, m.Method, m.Target)
@@ -373,9 +365,9 @@
 	c.b.stats.Queued += time.Since(t.at)
 	c.node.passed.Written++
 	c.wrote = c.b.now()
-	c.handed = whole
+	c.handed = proof.Whole
 	if c.g.OutboundBuffered() > 0 {
-		c.handed = partly
+		c.handed = proof.Partly
 	}
 }
 
@@ -395,7 +387,7 @@
 	case err != nil:
 		c.b.stats.Spoilt++
 		c.node.passed.Spoilt++
-		c.over(host.Outcome{Result: control.Error, Text: "spoilt answer: " + err.Error()})
+		c.over(host.Outcome{Result: proof.OfSpoilt(), Text: "spoilt answer: " + err.Error()})
 	case !done:
 		return gnet.None
 	default:
@@ -403,7 +395,7 @@
 		o := c.answer.outcome(c.b.set.LoadFields)
 		c.node.passed.answered(c.b.now()-c.wrote, o.Load)
 		c.over(o)
-		if c.answer.reusable && g.OutboundBuffered() == 0 && c.addr == c.node.addr && c.node.listed && !c.b.ended {
+		if proof.Reusable(c.answer.head.Close, c.answer.behind, g.OutboundBuffered()) && c.addr == c.node.addr && c.node.listed && !c.b.ended {
 			c.rest()
 			return gnet.None
 		}
@@ -465,9 +457,8 @@
 		if err != nil {
 			text = err.Error()
 		}
-		o := host.Outcome{Result: control.Reset, Text: text}
-		if c.handed == nothing || c.handed == partly && g.OutboundBuffered() > 0 {
-			o.Result = control.Unreachable
+		o := host.Outcome{Result: proof.OfEnd(c.handed, g.OutboundBuffered()), Text: text}
+		if o.Result == control.Unreachable {
 			_ = unix.Shutdown(g.Fd(), unix.SHUT_RDWR) // nor may the rest follow
 		}
 		b.report(t, o)
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -27,7 +27,6 @@
 const (
 	lookEvery  = 100 * time.Millisecond // for connections whose time is up
 	bindWithin = 3 * time.Second        // a former process may still hold the address
-	takeWithin = 5 * time.Second        // for a client to take an answer
 	heldMost   = http1.MaxHead + http1.MaxBody
 )
 
@@ -164,7 +163,7 @@
 	now := f.opt.Host.Now()
 	taken, of := f.places()
 	for c := range f.conns {
-		if slow := (c.closing || c.out) && now-c.since > takeWithin; slow || c.closing && c.g.OutboundBuffered() == 0 {
+		if c.closing && c.g.OutboundBuffered() == 0 {
 			f.opt.Loop.Close(c.g)
 			continue
 		}
@@ -282,7 +281,7 @@
 }
 
 func (c *conn) known() headroom.Conn {
-	return headroom.Conn{Open: c.req != nil || c.out || c.closing, Asked: c.asked, Begun: len(c.in) > 0,
+	return headroom.Conn{Open: c.req != nil, Taking: c.out || c.closing, Asked: c.asked, Begun: len(c.in) > 0,
 		Opened: c.opened, Since: c.since}
 }
 
--- /dev/null
+++ b/nodelist/nodelist_test.go
@@ -0,0 +1,66 @@
+package nodelist
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhold/control"
+)
+
+func update(rev uint64, all bool, targets ...string) Update {
+	u := Update{Rev: rev, All: all}
+	for _, t := range targets {
+		u.Targets = append(u.Targets, json.RawMessage(t))
+	}
+	return u
+}
+
+func target(uid, state string) string {
+	return fmt.Sprintf(`{"uid":%q,"endpoint":"10.0.0.1:1","pod_group":3,"state":%q,"capacity_hint":1,"boot_ms":7}`, uid, state)
+}
+
+// TestTake: a list, its changes, repeats and older ones, a gap, and a whole list after it.
+func TestTake(t *testing.T) {
+	l := New()
+	for _, c := range []struct {
+		u           Update
+		fresh       bool
+		nodes, held int
+	}{
+		{update(5, true, target("a", "active"), target("b", "leaving")), true, 2, 2},
+		{update(5, false), false, 0, 2},
+		{update(4, false, target("a", "left")), false, 0, 2},
+		{update(6, false, target("a", "left")), true, 1, 1},
+		{update(9, false, target("c", "active")), true, 1, 2},
+		{update(3, true, target("d", "active")), true, 1, 1}, // whole: what it does not name is gone
+	} {
+		nodes, passed, fresh := l.Take(c.u)
+		if fresh != c.fresh || len(nodes) != c.nodes || l.Len() != c.held || len(passed) != 0 || fresh && l.Rev() != c.u.Rev {
+			t.Errorf("rev %d: %+v, %v, fresh %v, %d held", c.u.Rev, nodes, passed, fresh, l.Len())
+		}
+	}
+	nodes, _, _ := l.Take(update(10, false, target("e", "leaving")))
+	if n := nodes[0]; n.ID != "e" || n.Shard != 3 || n.State != control.Draining || n.Endpoint != "10.0.0.1:1" || n.BootMS != 7 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// TestPassed: what cannot be used is named with its place, and the others count.
+func TestPassed(t *testing.T) {
+	l := New()
+	_, passed, _ := l.Take(update(1, true, `{"uid":""}`, `{"uid":7}`, `3`, target("odd", "asleep"), target("good", "active"),
+		`{"uid":"neg","endpoint":"x:1","pod_group":-1,"state":"active"}`, `{"uid":"nowhere","endpoint":"x","state":"active"}`,
+		`{"uid":"late","endpoint":"x:1","state":"active","boot_ms":-1}`))
+	if len(passed) != 7 || l.Len() != 1 || !strings.Contains(passed[3].Error(), "targets[3]: odd") {
+		t.Errorf("%v, %d held", passed, l.Len())
+	}
+}
+
+func TestPause(t *testing.T) {
+	if Pause(0) != pauseLow || Pause(1) != 2*pauseLow || Pause(100) != time.Second {
+		t.Errorf("%v, %v, %v", Pause(0), Pause(1), Pause(100))
+	}
+}
--- /dev/null
+++ b/proof/proof.go
@@ -0,0 +1,44 @@
+// Package proof decides what the end of an attempt over HTTP proves: whether the node ran it, may have, or
+// never did (the platform's PROTOCOL, "Hosts to nodes"). It does no I/O. internal/backend/http asks it.
+// What is not proved to have never run is taken as if it may have: a request that is sent again, or refused,
+// on a wrong proof has its effect twice.
+package proof
+
+import "eiderhold/control"
+
+// Handed is how far a request has come towards the node.
+type Handed int
+
+// The stages.
+const (
+	Nothing Handed = iota // no byte was taken by the kernel
+	Partly                // some of it is still in this process
+	Whole                 // its last byte is with the kernel: a node begins a request with its last byte
+)
+
+// OfEnd is what a connection's end proves of the request on it. rest is what of it is still in this process.
+func OfEnd(h Handed, rest int) control.Result {
+	if h == Nothing || h == Partly && rest > 0 {
+		return control.Unreachable
+	}
+	return control.Reset
+}
+
+// OfAnswer is what a whole answer proves. notStarted says that it carries Not-Started: 1, once.
+func OfAnswer(status int, notStarted bool) control.Result {
+	switch {
+	case status == 200:
+		return control.Done
+	case notStarted && (status == 503 || status == 504):
+		return control.Busy
+	}
+	return control.Error
+}
+
+// OfSpoilt is what an answer proves that cannot be read, or is not whole: the request has run or may have, and
+// whatever of it looks like Not-Started is no proof.
+func OfSpoilt() control.Result { return control.Error }
+
+// Reusable says whether a connection may carry another request after a whole answer: it says so itself,
+// nothing came behind the answer, and no byte of the request is left over.
+func Reusable(closes bool, behind, rest int) bool { return !closes && behind == 0 && rest == 0 }
--- /dev/null
+++ b/proof/proof_test.go
@@ -0,0 +1,34 @@
+package proof
+
+import (
+	"testing"
+
+	"eiderhold/control"
+)
+
+// TestProofs is the platform's table, and that nothing else proves that an attempt never ran.
+func TestProofs(t *testing.T) {
+	for status := 200; status < 600; status++ {
+		for _, notStarted := range []bool{false, true} {
+			r := OfAnswer(status, notStarted)
+			if never := notStarted && (status == 503 || status == 504); r.NeverRan() != never || (r == control.Done) != (status == 200) {
+				t.Errorf("status %d, not started %v: %d", status, notStarted, r)
+			}
+		}
+	}
+	if OfSpoilt().NeverRan() || OfSpoilt() == control.Done {
+		t.Error("a spoilt answer proves something")
+	}
+	for _, c := range []struct {
+		h     Handed
+		rest  int
+		never bool
+	}{{Nothing, 0, true}, {Nothing, 9, true}, {Partly, 1, true}, {Partly, 0, false}, {Whole, 0, false}} {
+		if r := OfEnd(c.h, c.rest); r.NeverRan() != c.never || !r.NeverRan() && !r.Doubtful() {
+			t.Errorf("%+v: %d", c, r)
+		}
+	}
+	if !Reusable(false, 0, 0) || Reusable(true, 0, 0) || Reusable(false, 1, 0) || Reusable(false, 0, 1) {
+		t.Error("a connection is used again that may not be")
+	}
+}
