--- a/connpool/connpool_test.go
+++ b/connpool/connpool_test.go
@@ -171,3 +171,26 @@
 		}
 	})
 }
+
+// TestForEver: 100,000 nodes, each with connections of its own, come and go and leave nothing behind.
+func TestForEver(t *testing.T) {
+	p := New[int](Settings{Total: 50, Idle: time.Second})
+	now, next := time.Duration(0), 0
+	for i := range 100_000 {
+		now += 10 * ms
+		id := fmt.Sprint("n", i)
+		if _, v := p.Take(now, id, 0); v != Open {
+			t.Fatalf("node %d: verdict %d", i, v)
+		}
+		next++
+		p.Opened(now, id, next)
+		if c, v := p.Take(now, id, 0); v != Use || c != next {
+			t.Fatalf("node %d: connection %d, verdict %d", i, c, v)
+		}
+		p.Done(now, id, next)
+		p.Old(now, func(other string) bool { return other != fmt.Sprint("n", i-20) }) // replaced
+		if len(p.nodes) > 25 || p.Total() > 25 {
+			t.Fatalf("node %d: %d nodes, %d connections", i, len(p.nodes), p.Total())
+		}
+	}
+}
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -494,6 +495,38 @@
 	}
 }
 
+// TestHundredsAtOnce: hundreds of requests at once, more than there are places, are all answered, and never
+// more of them open than places.
+func TestHundredsAtOnce(t *testing.T) {
+	const places, clients = 50, 300
+	r := newRig(t, places)
+	answers := make(chan int, clients)
+	for i := range clients {
+		c := r.dial()
+		go func() {
+			c.send(get(id(i)))
+			s, _, _ := c.answer()
+			answers <- s
+		}()
+	}
+	var first []*host.Request
+	for range places - 1 { // one place is kept for who is being accepted
+		first = append(first, <-r.host.taken)
+	}
+	if taken, of := r.places(); taken > of || len(r.host.taken) > 1 {
+		t.Fatalf("%d places of %d, and %d more requests", taken, of, len(r.host.taken))
+	}
+	for _, q := range first {
+		q.Answer(served("x"))
+	}
+	r.answerAll()
+	for range clients {
+		if s := <-answers; s != 200 {
+			t.Fatalf("%d", s)
+		}
+	}
+}
+
 // TestBytes: what all clients may have held together is bounded, and those who begin large requests and do
 // not end them keep no one else from being served.
 func TestBytes(t *testing.T) {
@@ -559,7 +592,12 @@
 	if testing.Short() {
 		times = 10_000
 	}
+	var half, end runtime.MemStats
 	for i := range times {
+		if i == times/2 {
+			runtime.GC()
+			runtime.ReadMemStats(&half)
+		}
 		if i%100 == 0 {
 			c.Close()
 			c = r.dial()
@@ -571,6 +609,11 @@
 	}
 	c.Close()
 	r.empty()
+	runtime.GC()
+	runtime.ReadMemStats(&end)
+	if grown := int64(end.HeapAlloc) - int64(half.HeapAlloc); grown > 1<<20 {
+		t.Errorf("%d bytes more in the second half", grown)
+	}
 	got := make(chan int)
 	r.opt.Loop.Do(func() { got <- len(r.conns) + len(r.ids) })
 	if n := <-got; n != 0 {
