A host that ends keeps connections after their answers also where places are short

With a crowd over 60% of the places are taken, so every answer ends its connection (headroom.Keep), and 0.4 s after SIGTERM clients find no new one: what parting keeps open, the front closed.

Change: from SIGTERM on connections go on after their answers while the host serves. TestAskOnceAndStay has it too.

--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -66,6 +66,7 @@
 	conns    map[*conn]bool
 	ids      map[string]*conn // of requests that are open, by Request-Id
 	held     int64
+	keep     bool
 	draining bool
 	until    time.Duration // requests end by then; 0: no such end
 	stats    Stats
@@ -216,6 +217,9 @@
 // wait longer.
 func (f *Front) Within(until time.Duration) { f.opt.Loop.Do(func() { f.until = until }) }
 
+// Keep has connections go on after their answers, however few places are left: clients find no others any more.
+func (f *Front) Keep() { f.opt.Loop.Do(func() { f.keep = true }) }
+
 // Drain has every answer end its connection, and ends those that have no request open.
 func (f *Front) Drain() {
 	f.opt.Loop.Do(func() {
@@ -504,7 +508,7 @@
 
 // answer writes one answer.
 func (c *conn) answer(status int, retryAfter string, body []byte) gnet.Action {
-	end := c.close || c.doomed || c.f.draining || !headroom.Keep(c.f.places())
+	end := c.close || c.doomed || c.f.draining || !c.f.keep && !headroom.Keep(c.f.places())
 	b := make([]byte, 0, 192+len(body))
 	b = http1.AppendStatus(b, status)
 	b = http1.AppendInt(b, "Content-Length", int64(len(body)))
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -493,6 +493,14 @@
 	if ended < 180 || ended == 200 {
 		t.Fatalf("%d connections of 200 ended with their answer, of 20 places", ended)
 	}
+	r.Keep() // the host ends: who is there stays
+	c := r.dial()
+	for i := range 3 {
+		c.send(get(id(i)))
+		if s, _, h := c.answer(); s != 200 || h.Get("Connection") == "close" {
+			t.Fatalf("while the host ends: %d, %v", s, h)
+		}
+	}
 }
 
 // TestHundredsAtOnce: hundreds of requests at once, more than there are places, are all answered, and never
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -169,6 +169,7 @@
 	}
 	plan, began, clock := parting.New(longest), time.Now(), l.host.Now()
 	was := parting.Phase{Accept: true, Serve: true}
+	l.front.Keep()
 	for {
 		ph := plan.At(time.Since(began))
 		if was.Accept && !ph.Accept {
--- a/parting/parting.go
+++ b/parting/parting.go
@@ -23,8 +23,10 @@
 
 // Phase is what holds at a moment.
 type Phase struct {
-	Accept bool          // new connections are taken
-	Serve  bool          // connections stay open; else each ends with its answer, and idle ones at once
+	Accept bool // new connections are taken
+	// Serve: connections stay open, also where places are short: a client that loses its own finds no other. If
+	// not, each ends with its answer, and idle ones at once.
+	Serve  bool
 	Within time.Duration // a request taken now must be answered by then, from the signal on; 0: by its own time
 	Over   bool          // the process ends, whatever is open
 }
