--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -10,12 +10,10 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
 
 	"eiderhold/internal/telemetry"
 )
@@ -35,7 +33,6 @@
 	log    *slog.Logger
 	client *gnet.Client
 	el     gnet.EventLoop
-	anchor net.Conn // the other end of a pair that gives the loop's handle
 
 	mu   sync.Mutex
 	box  []func()
@@ -61,23 +58,14 @@
 	return l, nil
 }
 
-// anchorTo enrols one end of a socket pair: gnet hands out a loop's handle with a connection only.
+// anchorTo enrols a UDP socket that nothing is sent on: gnet hands out a loop's handle with a connection only,
+// and on the platform sockets are TCP and UDP over IPv4.
 func (l *Loop) anchorTo() error {
-	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	c, err := net.Dial("udp4", "127.0.0.1:9") // connected, as gnet asks for a peer; no packet leaves for it
 	if err != nil {
 		return err
 	}
-	var ends [2]net.Conn
-	for i, fd := range fds {
-		f := os.NewFile(uintptr(fd), "anchor")
-		ends[i], err = net.FileConn(f)
-		_ = f.Close()
-		if err != nil {
-			return err
-		}
-	}
-	l.anchor = ends[1]
-	g, err := l.client.EnrollContext(ends[0], &member{Peer: anchor{}})
+	g, err := l.client.EnrollContext(c, &member{Peer: anchor{}})
 	if err == nil {
 		l.el = g.EventLoop()
 	}
@@ -158,11 +146,7 @@
 func (l *Loop) Close(g gnet.Conn) { _ = l.el.Close(g) }
 
 // Stop ends the loop and all connections on it.
-func (l *Loop) Stop() error {
-	err := l.client.Stop()
-	_ = l.anchor.Close()
-	return err
-}
+func (l *Loop) Stop() error { return l.client.Stop() }
 
 type handler struct{ gnet.BuiltinEventEngine }
 
