No attempt begins for a client that has gone, or at a node that drains, after a wait

Ruled out: the close being seen late (the front's line stands before the write), the host loop. At fault: host.left let every attempt go on, and backend.serve handed a waiting attempt to the connection unasked. Now: the front marks the request as abandoned as it sees the close, the host withdraws what has not left, and backend.barred looks at client, node and time in one place right before the first byte. Tests seen to fail without it: TestBarred, TestClientLeaves, TestLeaves.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -258,14 +259,7 @@
 	}
 	delete(b.tries, ref)
 	if t.conn == nil {
-		if n := b.nodes[t.Node]; n != nil {
-			for i, w := range n.waiting {
-				if w == t {
-					n.waiting = append(n.waiting[:i], n.waiting[i+1:]...)
-					break
-				}
-			}
-		}
+		b.unqueue(t)
 		return
 	}
 	c := t.conn
@@ -276,6 +270,26 @@
 	}
 }
 
+// Withdraw ends an attempt that waits for a connection, as not sent.
+func (b *Backend) Withdraw(ref uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.tries[ref]
+	if t == nil || t.conn != nil {
+		return
+	}
+	delete(b.tries, ref)
+	b.unqueue(t)
+	b.report(t, control.NotSent, "withdrawn before it left")
+}
+
+// unqueue takes an attempt from those that wait for a connection to its node.
+func (b *Backend) unqueue(t *try) {
+	if n := b.nodes[t.Node]; n != nil {
+		n.waiting = slices.DeleteFunc(n.waiting, func(w *try) bool { return w == t })
+	}
+}
+
 // rest notes since when a connection has nothing out.
 func (c *conn) rest() {
 	if len(c.tries) == 0 {
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -65,6 +65,7 @@
 type Stats struct {
 	Dials, DialsFailed, Written, Answers, Spoilt, Excess, Stale, Given uint64
 	Rested                                                             uint64        // attempts that waited for a connection to rest
+	Barred                                                             uint64        // attempts that were not to begin any more when they could have
 	Queued                                                             time.Duration // that all attempts written had waited, in sum
 	Conns, Out, Waiting                                                int
 }
@@ -72,6 +73,7 @@
 type node struct {
 	id, addr string
 	listed   bool
+	draining bool
 	waiting  []*try
 	rung     bool // a timer for resting connections runs
 	passed   Passed
@@ -151,7 +153,12 @@
 				n = &node{id: l.ID}
 				b.nodes[l.ID] = n
 			}
-			n.addr, n.listed = l.Addr, true
+			n.addr, n.listed, n.draining = l.Addr, true, l.State == control.Draining
+		}
+		for _, n := range b.nodes {
+			if !n.listed || n.draining {
+				b.serve(n, false) // what waits for a connection there does not go
+			}
 		}
 		b.look()
 	})
@@ -200,6 +207,13 @@
 // and that a connection may be opened for it.
 func (b *Backend) serve(n *node, more bool) {
 	for len(n.waiting) > 0 && !b.ended {
+		if why := b.barred(n, n.waiting[0]); why != "" {
+			t := n.waiting[0]
+			n.waiting = slices.Delete(n.waiting, 0, 1)
+			b.stats.Barred++
+			b.report(t, host.Outcome{Result: control.NotSent, Text: why})
+			continue
+		}
 		before := len(n.waiting) - 1
 		if !more {
 			before = 1 << 30 // those that wait have had one opened, or there was no room
@@ -233,6 +247,26 @@
 	}
 }
 
+// barred says why an attempt may not begin any more; empty: it may. It is asked right before the first byte is
+// written, on the loop on which clients' connections close and lists arrive: a decision to send may have waited
+// for a connection since, and what it rested on may be over.
+func (b *Backend) barred(n *node, t *try) string {
+	switch {
+	case t.Request.Abandoned():
+		return "its client has gone"
+	case !n.listed:
+		return "the node is not listed"
+	case n.draining:
+		return "the node drains"
+	case t.left() < time.Millisecond:
+		return "the client's time is over"
+	}
+	return ""
+}
+
+// left is the client's time left.
+func (t *try) left() time.Duration { return t.Left - time.Since(t.at) }
+
 // wakeAt serves the node's attempts again when a resting connection may be used.
 func (b *Backend) wakeAt(n *node) {
 	at, ok := b.pool.Due(n.id)
@@ -288,9 +322,7 @@
 		}
 		delete(b.tries, ref)
 		if t.conn == nil {
-			if n := b.nodes[t.Node]; n != nil {
-				n.waiting = slices.DeleteFunc(n.waiting, func(w *try) bool { return w == t })
-			}
+			b.unqueue(t)
 			return
 		}
 		b.stats.Given++
@@ -300,6 +332,24 @@
 	})
 }
 
+// Withdraw ends an attempt that waits for a connection, as not sent.
+func (b *Backend) Withdraw(ref uint64) {
+	b.loop.Do(func() {
+		if t := b.tries[ref]; t != nil && t.conn == nil {
+			b.unqueue(t)
+			b.stats.Barred++
+			b.report(t, host.Outcome{Result: control.NotSent, Text: "withdrawn before it left"})
+		}
+	})
+}
+
+// unqueue takes an attempt from those that wait for a connection to its node.
+func (b *Backend) unqueue(t *try) {
+	if n := b.nodes[t.Node]; n != nil {
+		n.waiting = slices.DeleteFunc(n.waiting, func(w *try) bool { return w == t })
+	}
+}
+
 // report ends an attempt.
 func (b *Backend) report(t *try, o host.Outcome) {
 	delete(b.tries, t.Ref)
@@ -342,7 +392,7 @@
 	m := t.Request.Message
 	c.try, t.conn = t, c
 	c.handed, c.answer = proof.Nothing, answer{in: c.answer.in[:0]}
-	left := max(1, (t.Left - time.Since(t.at)).Milliseconds())
+	left := max(1, t.left().Milliseconds())
 	p := make([]byte, 0, 256+len(m.Target)+len(m.Body))
 	p = http1.AppendRequestLine(p, m.Method, m.Target)
 	p = http1.AppendField(p, "Host", c.b.set.Service)
--- a/internal/backend/http/backend_test.go
+++ b/internal/backend/http/backend_test.go
@@ -310,6 +310,68 @@
 	}
 }
 
+// TestBarred: an attempt that waits for a connection does not go any more once its client has gone, its node
+// drains or has left, or its time is over, and one behind it does.
+func TestBarred(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		left   time.Duration
+		change func(r *rig, ref uint64, req *host.Request, addrs [2]string)
+		atOnce bool // it ends without another connection
+	}{
+		{"its client has gone", time.Minute, func(_ *rig, _ uint64, req *host.Request, _ [2]string) { req.Abandon() }, false},
+		{"withdrawn", time.Minute, func(r *rig, ref uint64, _ *host.Request, _ [2]string) { r.Withdraw(ref) }, true},
+		{"its node drains", time.Minute, func(r *rig, _ uint64, _ *host.Request, addrs [2]string) {
+			r.Nodes([]host.Node{{Addr: addrs[0], Node: control.Node{ID: "a"}},
+				{Addr: addrs[1], Node: control.Node{ID: "b", State: control.Draining}}})
+		}, true},
+		{"its node has left", time.Minute, func(r *rig, _ uint64, _ *host.Request, addrs [2]string) {
+			r.Nodes([]host.Node{{Addr: addrs[0], Node: control.Node{ID: "a"}}})
+		}, true},
+		{"its time is over", time.Nanosecond, func(*rig, uint64, *host.Request, [2]string) {}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan bool)
+			slow := newNode(t, func(standin.Seen) standin.Reply { <-release; return standin.Reply{Text: standin.Served("x")} })
+			other := newNode(t, always(standin.Served("y")))
+			r := newRig(t, 1, slow.Addr(), other.Addr())
+			r.send("a", "x")
+			slow.Seen(1)
+			req := &host.Request{Message: &http1.Message{Method: "GET", Target: "/api/v/i", ID: "00000000000000ff"}}
+			r.next++
+			ref := r.next
+			r.Send(host.Attempt{Ref: ref, Node: "b", Left: c.left, Request: req}) // all places are taken
+			r.counts() // it waits
+			c.change(r, ref, req, [2]string{slow.Addr(), other.Addr()})
+			if c.atOnce {
+				if o := <-r.out; o.Ref != ref || o.Result != control.NotSent {
+					t.Fatalf("%+v, expected not sent", o)
+				}
+			}
+			close(release)
+			if o := <-r.out; o.Ref == ref || o.Result != control.Done {
+				t.Fatalf("%+v, expected the first one's answer", o)
+			}
+			if !c.atOnce {
+				if o := <-r.out; o.Ref != ref || o.Result != control.NotSent {
+					t.Fatalf("%+v, expected not sent", o)
+				}
+			}
+			r.Nodes([]host.Node{{Addr: other.Addr(), Node: control.Node{ID: "b"}}})
+			r.send("b", "z")
+			if o := <-r.out; o.Result != control.Done {
+				t.Fatalf("%+v", o)
+			}
+			if s := other.Seen(1); len(s) != 1 || s[0].Body != "z" {
+				t.Fatalf("the node has seen %+v", s)
+			}
+			if s := r.counts(); s.Barred != 1 || s.Out != 0 || s.Waiting != 0 {
+				t.Fatalf("%+v", s)
+			}
+		})
+	}
+}
+
 // TestNoRoomYet: an attempt for which there is no descriptor goes out when another has ended.
 func TestNoRoomYet(t *testing.T) {
 	release := make(chan bool)
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -306,6 +306,7 @@
 	f.drop(c)
 	if c.req != nil {
 		f.stats.Left++
+		c.req.Abandon()
 		f.opt.Host.Leave(c.id)
 		c.over()
 	}
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -358,10 +358,10 @@
 	r := newRig(t, 10)
 	c := r.dial()
 	c.send(get(id(1)))
-	<-r.host.taken
+	req := <-r.host.taken
 	c.Close()
-	if got := <-r.host.left; got != 1 {
-		t.Fatalf("request %d left", got)
+	if got := <-r.host.left; got != 1 || !req.Abandoned() {
+		t.Fatalf("request %d left, abandoned: %v", got, req.Abandoned())
 	}
 	half := r.dial()
 	half.send(get(id(2))[:60])
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eiderhold/control"
@@ -80,8 +81,17 @@
 
 	// Answer takes the final answer, once, on the host's loop. It must not block.
 	Answer func(Answer)
+
+	gone atomic.Bool
 }
 
+// Abandon marks the request as one whose client has gone: from now on no attempt of it may begin. A front
+// calls it as it sees the close, before Host.Leave: what waits for a connection need not wait for the loop.
+func (r *Request) Abandon() { r.gone.Store(true) }
+
+// Abandoned says that the client has gone.
+func (r *Request) Abandoned() bool { return r.gone.Load() }
+
 // Answer is the one final answer to a request.
 type Answer struct {
 	Kind       Kind
@@ -124,6 +134,8 @@
 type Backend interface {
 	Send(Attempt)
 	Drop(ref uint64) // the attempt's answer is no longer wanted
+	// Withdraw ends an attempt of which nothing has left, as not sent. Another one goes on.
+	Withdraw(ref uint64)
 	Probe(node string)
 	Nodes([]Node) // the nodes that are listed now; others are closed when idle
 }
@@ -479,8 +491,8 @@
 		Expires: max(0, r.deadline-h.now), Retry: r.Retry, Tiers: r.Tiers, Avoid: r.Avoid})
 }
 
-// left books that the client of a request has gone. Its attempts go on to their
-// outcomes, which the controller learns from.
+// left books that the client of a request has gone. Attempts that have not begun do so no more. Those that
+// have go on to their outcomes, which the controller learns from, unless it calls them off.
 func (h *Host) left(id uint64) {
 	r := h.reqs[strconv.FormatUint(id, 36)]
 	if r == nil || r.over {
@@ -489,6 +501,12 @@
 	h.stats.Left++
 	h.event(control.ClientGone{ID: r.name})
 	r.Answer = nil
+	r.Abandon()
+	for _, a := range r.attempts {
+		if h.out[a.ref] != nil {
+			h.opt.Backend.Withdraw(a.ref)
+		}
+	}
 	h.finish(r, Answer{Kind: Failed, Cause: "the client left"})
 }
 
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -16,14 +16,16 @@
 
 // fake is a backend that notes what it is told.
 type fake struct {
-	sent    []Attempt
-	dropped []uint64
-	probed  []string
-	nodes   int
+	sent      []Attempt
+	dropped   []uint64
+	withdrawn []uint64
+	probed    []string
+	nodes     int
 }
 
 func (f *fake) Send(a Attempt)     { f.sent = append(f.sent, a) }
 func (f *fake) Drop(ref uint64)    { f.dropped = append(f.dropped, ref) }
+func (f *fake) Withdraw(r uint64)  { f.withdrawn = append(f.withdrawn, r) }
 func (f *fake) Probe(node string)  { f.probed = append(f.probed, node) }
 func (f *fake) Nodes(nodes []Node) { f.nodes = len(nodes) }
 
@@ -264,8 +266,8 @@
 	}
 }
 
-// TestClientLeaves: nothing is answered, and a late outcome still reaches the
-// controller, closed.
+// TestClientLeaves: nothing is answered, what has not left is withdrawn, and a late outcome still reaches
+// the controller, closed.
 func TestClientLeaves(t *testing.T) {
 	b := newBench(t, nil)
 	got, id := b.ask(time.Second)
@@ -278,6 +280,9 @@
 	if _, ok := d.events[0].(control.ClientGone); !ok || len(d.events) != 1 {
 		t.Fatalf("told %+v", d.events)
 	}
+	if w := b.back.withdrawn; len(w) != 1 || w[0] != b.back.sent[0].Ref || !b.back.sent[0].Request.Abandoned() {
+		t.Fatalf("withdrawn %v, request abandoned: %v", w, b.back.sent[0].Request.Abandoned())
+	}
 	b.Ended(Outcome{Ref: b.back.sent[0].Ref, Result: control.Done, Data: buffer.Get(1)})
 	b.step(0)
 	if o, ok := d.events[0].(control.Outcome); !ok || !o.Closed || len(*got) != 0 || len(b.reqs) != 0 {
@@ -313,10 +318,11 @@
 // echo answers every attempt at the next turn.
 type echo struct{ sent []Attempt }
 
-func (e *echo) Send(a Attempt) { e.sent = append(e.sent, a) }
-func (e *echo) Drop(uint64)    {}
-func (e *echo) Probe(string)   {}
-func (e *echo) Nodes([]Node)   {}
+func (e *echo) Send(a Attempt)  { e.sent = append(e.sent, a) }
+func (e *echo) Drop(uint64)     {}
+func (e *echo) Withdraw(uint64) {}
+func (e *echo) Probe(string)    {}
+func (e *echo) Nodes([]Node)    {}
 
 // answerAll answers what was sent, and what is sent upon it, a millisecond a round.
 func (e *echo) answerAll(h *Host, at *time.Duration) {
