Packages are named limits, shutdown, outcome and membership, as the field calls them

TestDrainWhileHeld took attempts that still waited for a connection for ones that are out; since these are withdrawn when a drain is told, it waits until all that the controller has out are on a connection. Its assertions are the same.

--- a/internal/backend/http/answer.go
+++ b/internal/backend/http/answer.go
@@ -10,7 +10,7 @@
 	"eiderhold/internal/buffer"
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
-	"eiderhold/proof"
+	"eiderhold/outcome"
 )
 
 const interimMost = 8 // 1xx answers in front of one
@@ -104,7 +104,7 @@
 
 // outcome reads a whole answer as the protocol's table has it.
 func (a *answer) outcome(fields []string) host.Outcome {
-	o := host.Outcome{Result: proof.OfAnswer(a.head.Status, a.notRun), VolumeUse: meter(a.use), Load: report(a.load, fields)}
+	o := host.Outcome{Result: outcome.OfAnswer(a.head.Status, a.notRun), VolumeUse: meter(a.use), Load: report(a.load, fields)}
 	if o.Result == control.Done {
 		o.Data = buffer.Get(len(a.body))
 		copy(o.Data.B, a.body)
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -26,7 +26,7 @@
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
 	"eiderhold/internal/loop"
-	"eiderhold/proof"
+	"eiderhold/outcome"
 )
 
 const (
@@ -359,17 +359,17 @@
 
 // conn is one connection to a node.
 type conn struct {
-	b      *Backend
-	node   *node
-	addr   string
-	g      gnet.Conn
-	pooled bool // the pool has it
-	busy   bool // in the pool's books
-	gone   bool
-	try    *try // out on it
-	handed proof.Handed
-	wrote  time.Duration
-	answer answer
+	b        *Backend
+	node     *node
+	addr     string
+	g        gnet.Conn
+	pooled   bool // the pool has it
+	busy     bool // in the pool's books
+	gone     bool
+	try      *try // out on it
+	progress outcome.Progress
+	wrote    time.Duration
+	answer   answer
 }
 
 // Opened makes it available.
@@ -391,7 +391,7 @@
 func (c *conn) hand(t *try) {
 	m := t.Request.Message
 	c.try, t.conn = t, c
-	c.handed, c.answer = proof.Nothing, answer{in: c.answer.in[:0]}
+	c.progress, c.answer = outcome.NotBegun, answer{in: c.answer.in[:0]}
 	left := max(1, t.left().Milliseconds())
 	p := make([]byte, 0, 256+len(m.Target)+len(m.Body))
 	p = http1.AppendRequestLine(p, m.Method, m.Target)
@@ -415,9 +415,9 @@
 	c.b.stats.Queued += time.Since(t.at)
 	c.node.passed.Written++
 	c.wrote = c.b.now()
-	c.handed = proof.Whole
+	c.progress = outcome.Complete
 	if c.g.OutboundBuffered() > 0 {
-		c.handed = proof.Partly
+		c.progress = outcome.Partial
 	}
 }
 
@@ -437,7 +437,7 @@
 	case err != nil:
 		c.b.stats.Spoilt++
 		c.node.passed.Spoilt++
-		c.over(host.Outcome{Result: proof.OfSpoilt(), Text: "spoilt answer: " + err.Error()})
+		c.over(host.Outcome{Result: outcome.OfSpoilt(), Text: "spoilt answer: " + err.Error()})
 	case !done:
 		return gnet.None
 	default:
@@ -445,7 +445,7 @@
 		o := c.answer.outcome(c.b.set.LoadFields)
 		c.node.passed.answered(c.b.now()-c.wrote, o.Load)
 		c.over(o)
-		if proof.Reusable(c.answer.head.Close, c.answer.behind, g.OutboundBuffered()) && c.addr == c.node.addr && c.node.listed && !c.b.ended {
+		if outcome.Reusable(c.answer.head.Close, c.answer.behind, g.OutboundBuffered()) && c.addr == c.node.addr && c.node.listed && !c.b.ended {
 			c.rest()
 			return gnet.None
 		}
@@ -507,7 +507,7 @@
 		if err != nil {
 			text = err.Error()
 		}
-		o := host.Outcome{Result: proof.OfEnd(c.handed, g.OutboundBuffered()), Text: text}
+		o := host.Outcome{Result: outcome.OfEnd(c.progress, g.OutboundBuffered()), Text: text}
 		if o.Result == control.Unreachable {
 			_ = unix.Shutdown(g.Fd(), unix.SHUT_RDWR) // nor may the rest follow
 		}
--- a/internal/backend/http/backend_test.go
+++ b/internal/backend/http/backend_test.go
@@ -341,7 +341,7 @@
 			r.next++
 			ref := r.next
 			r.Send(host.Attempt{Ref: ref, Node: "b", Left: c.left, Request: req}) // all places are taken
-			r.counts() // it waits
+			r.counts()                                                            // it waits
 			c.change(r, ref, req, [2]string{slow.Addr(), other.Addr()})
 			if c.atOnce {
 				if o := <-r.out; o.Ref != ref || o.Result != control.NotSent {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,5 +1,5 @@
 // Package discovery follows the platform's list of nodes: an HTTP/1.1 watch, one JSON object a line, taken
-// up again where it broke off. What of it is taken nodelist says; it judges no node. internal/live makes it; it
+// up again where it broke off. What of it is taken membership says; it judges no node. internal/live makes it; it
 // calls Host.List.
 package discovery
 
@@ -18,7 +18,7 @@
 	"eiderhold/control"
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
-	"eiderhold/nodelist"
+	"eiderhold/membership"
 )
 
 const (
@@ -43,7 +43,7 @@
 	moved chan struct{} // closed when the address changes
 	now   State
 
-	list *nodelist.List
+	list *membership.List
 }
 
 // State is what an operator sees.
@@ -59,12 +59,12 @@
 
 // New makes a feed of an address.
 func New(addr string, h Host, log *slog.Logger) *Feed {
-	return &Feed{host: h, log: log, silence: nodelist.Silence, addr: addr, moved: make(chan struct{}), list: nodelist.New()}
+	return &Feed{host: h, log: log, silence: membership.Silence, addr: addr, moved: make(chan struct{}), list: membership.New()}
 }
 
 // Start tells the host the list that this host held when it was last there: it may be out of date.
 func (f *Feed) Start(known []byte) error {
-	var u nodelist.Update
+	var u membership.Update
 	if err := json.Unmarshal(known, &u); err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
@@ -128,7 +128,7 @@
 		if heard {
 			failures = 0
 		}
-		pause := nodelist.Pause(failures)
+		pause := membership.Pause(failures)
 		f.log.Warn("discovery: the watch ended; the list held applies meanwhile", "addr", addr, "err", err, "again_in", pause)
 		select {
 		case <-ctx.Done():
@@ -189,7 +189,7 @@
 	if len(bytes.TrimSpace(b)) == 0 {
 		return nil // a beat
 	}
-	var u nodelist.Update
+	var u membership.Update
 	if err := json.Unmarshal(b, &u); err != nil {
 		return fmt.Errorf("line of %d bytes: %w", len(b), err)
 	}
@@ -202,7 +202,7 @@
 }
 
 // tell hands an update to the host.
-func (f *Feed) tell(kind control.ListKind, u nodelist.Update) {
+func (f *Feed) tell(kind control.ListKind, u membership.Update) {
 	held := f.list.Rev()
 	nodes, passed, fresh := f.list.Take(u)
 	if !fresh {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -11,7 +11,7 @@
 	"eiderhold/control"
 	"eiderhold/internal/host"
 	"eiderhold/internal/standin"
-	"eiderhold/nodelist"
+	"eiderhold/membership"
 )
 
 // hearer is told lists.
@@ -33,7 +33,7 @@
 }
 
 func follow(t *testing.T, addr string) (*Feed, *hearer, *standin.Log) {
-	return followWithin(t, addr, nodelist.Silence)
+	return followWithin(t, addr, membership.Silence)
 }
 
 func followWithin(t *testing.T, addr string, silence time.Duration) (*Feed, *hearer, *standin.Log) {
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -1,6 +1,6 @@
 // Package http is the platform's front: clients' HTTP/1.1 connections, one request at a time on each, and
 // the way from a request to host.Submit and from its final answer to bytes. It knows no node, chooses none
-// and repeats nothing. How many connections there may be, and which go when there is no room, headroom
+// and repeats nothing. How many connections there may be, and which go when there is no room, limits
 // says. All its state belongs to one event loop; only accepting is done beside it.
 package http
 
@@ -18,10 +18,10 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"eiderhold/control"
-	"eiderhold/headroom"
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
 	"eiderhold/internal/loop"
+	"eiderhold/limits"
 )
 
 const (
@@ -176,11 +176,11 @@
 				continue
 			}
 		}
-		switch headroom.Judge(now, c.known(), taken, of) {
-		case headroom.Leave:
+		switch limits.Judge(now, c.known(), taken, of) {
+		case limits.Leave:
 			f.stats.Evicted++
 			f.opt.Loop.Close(c.g)
-		case headroom.Late:
+		case limits.Late:
 			f.stats.Late++
 			c.refuse(408, "the request did not come in time")
 			f.opt.Loop.Close(c.g)
@@ -203,7 +203,7 @@
 	var worst *conn
 	top := 0.0
 	for c := range f.conns {
-		if rank, may := headroom.Rank(now, c.known()); may && (worst == nil || rank > top) {
+		if rank, may := limits.Rank(now, c.known()); may && (worst == nil || rank > top) {
 			worst, top = c, rank
 		}
 	}
@@ -284,8 +284,8 @@
 	since   time.Duration
 }
 
-func (c *conn) known() headroom.Conn {
-	return headroom.Conn{Open: c.req != nil, Taking: c.out || c.closing, Asked: c.asked, Begun: len(c.in) > 0,
+func (c *conn) known() limits.Conn {
+	return limits.Conn{Open: c.req != nil, Taking: c.out || c.closing, Asked: c.asked, Begun: len(c.in) > 0,
 		Opened: c.opened, Since: c.since}
 }
 
@@ -323,7 +323,7 @@
 				most = o
 			}
 		}
-		if most == nil || !headroom.Yields(len(most.in), len(c.in)+n) {
+		if most == nil || !limits.Yields(len(most.in), len(c.in)+n) {
 			return false
 		}
 		most.refuse(503, "more bytes of requests held than allowed")
@@ -456,7 +456,7 @@
 	id, err := f.opt.Host.Submit(r)
 	if err != nil { // nothing has run: trying again is harmless
 		f.stats.Refused++
-		return c.answer(503, seconds(headroom.Again), []byte(err.Error()+"\n"))
+		return c.answer(503, seconds(limits.Again), []byte(err.Error()+"\n"))
 	}
 	c.req, c.id, c.body = r, id, len(r.Message.Body)
 	f.held += int64(c.body)
@@ -502,14 +502,14 @@
 	c.f.drop(c)
 	again := ""
 	if status == 503 {
-		again = seconds(headroom.Again)
+		again = seconds(limits.Again)
 	}
 	c.answer(status, again, []byte(text+"\n"))
 }
 
 // answer writes one answer.
 func (c *conn) answer(status int, retryAfter string, body []byte) gnet.Action {
-	end := c.close || c.doomed || c.f.draining || !c.f.keep && !headroom.Keep(c.f.places())
+	end := c.close || c.doomed || c.f.draining || !c.f.keep && !limits.Keep(c.f.places())
 	b := make([]byte, 0, 192+len(body))
 	b = http1.AppendStatus(b, status)
 	b = http1.AppendInt(b, "Content-Length", int64(len(body)))
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -18,13 +18,13 @@
 	"time"
 
 	"eiderhold/control"
-	"eiderhold/headroom"
 	backend "eiderhold/internal/backend/http"
 	"eiderhold/internal/discovery"
 	front "eiderhold/internal/front/http"
 	"eiderhold/internal/host"
 	"eiderhold/internal/loop"
-	"eiderhold/parting"
+	"eiderhold/limits"
+	"eiderhold/shutdown"
 )
 
 const (
@@ -63,7 +63,7 @@
 
 // Start starts a host; it serves when Start returns.
 func Start(cfg *Config, log *slog.Logger) (*Live, error) {
-	split := headroom.Divide(cfg.Limits.Sockets, int64(cfg.Limits.MemoryMB*(1<<20)))
+	split := limits.Divide(cfg.Limits.Sockets, int64(cfg.Limits.MemoryMB*(1<<20)))
 	runtime.GOMAXPROCS(procs)
 	debug.SetMemoryLimit(split.Heap)
 	l := &Live{cfg: cfg, log: log, ended: make(chan struct{})}
@@ -162,14 +162,14 @@
 	}
 }
 
-// drain ends the host as parting says.
+// drain ends the host as shutdown says.
 func (l *Live) drain() error {
 	longest := time.Duration(0)
 	for _, c := range l.cfg.control.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	plan, began, clock := parting.New(longest), time.Now(), l.host.Now()
-	was := parting.Phase{Accept: true, Serve: true}
+	plan, began, clock := shutdown.New(longest), time.Now(), l.host.Now()
+	was := shutdown.Phase{Accept: true, Serve: true}
 	l.front.Keep()
 	for {
 		ph := plan.At(time.Since(began))
--- a/internal/live/live_test.go
+++ b/internal/live/live_test.go
@@ -184,8 +184,8 @@
 	}
 	for settled := false; !settled; {
 		got := make(chan bool)
-		r.Compare(func(b []host.Believed, _ map[string]backend.Passed) {
-			got <- len(b) == 1 && b[0].Out > 0 && b[0].Held > 0
+		r.Compare(func(b []host.Believed, p map[string]backend.Passed) { // what waits for a connection is not out yet
+			got <- len(b) == 1 && b[0].Out > 0 && b[0].Held > 0 && p["s-1"].Waiting == 0 && p["s-1"].Out == b[0].Out
 		})
 		settled = <-got
 	}
--- a/headroom/headroom.go
+++ b/limits/limits.go
@@ -1,7 +1,7 @@
-// Package headroom decides how one process's descriptors and memory are split among those who need them,
+// Package limits decides how one process's descriptors and memory are split among those who need them,
 // and which client's connection goes when they run short. It owns nothing and does no I/O: who calls it
 // keeps to the split before it accepts, dials or buffers.
-package headroom
+package limits
 
 import "time"
 
--- a/headroom/headroom_test.go
+++ b/limits/limits_test.go
@@ -1,4 +1,4 @@
-package headroom
+package limits
 
 import (
 	"testing"
--- a/nodelist/nodelist.go
+++ b/membership/membership.go
@@ -1,7 +1,7 @@
-// Package nodelist decides what of discovery's news about nodes is taken, and when the watch is asked for anew.
+// Package membership decides what of discovery's news about nodes is taken, and when the watch is asked for anew.
 // It opens nothing and reads no clock: updates go in as they were told, what the host is to be told comes out.
 // internal/discovery drives it.
-package nodelist
+package membership
 
 import (
 	"encoding/json"
--- a/nodelist/nodelist_test.go
+++ b/membership/membership_test.go
@@ -1,4 +1,4 @@
-package nodelist
+package membership
 
 import (
 	"encoding/json"
--- a/proof/proof.go
+++ b/outcome/outcome.go
@@ -1,24 +1,24 @@
-// Package proof decides what the end of an attempt over HTTP proves: whether the node ran it, may have, or
+// Package outcome decides what the end of an attempt over HTTP proves: whether the node ran it, may have, or
 // never did (the platform's PROTOCOL, "Hosts to nodes"). It does no I/O. internal/backend/http asks it.
 // What is not proved to have never run is taken as if it may have: a request that is sent again, or refused,
 // on a wrong proof has its effect twice.
-package proof
+package outcome
 
 import "eiderhold/control"
 
-// Handed is how far a request has come towards the node.
-type Handed int
+// Progress is how far a request has come towards the node.
+type Progress int
 
 // The stages.
 const (
-	Nothing Handed = iota // no byte was taken by the kernel
-	Partly                // some of it is still in this process
-	Whole                 // its last byte is with the kernel: a node begins a request with its last byte
+	NotBegun Progress = iota // no byte was taken by the kernel
+	Partial                  // some of it is still in this process
+	Complete                 // its last byte is with the kernel: a node begins a request with its last byte
 )
 
 // OfEnd is what a connection's end proves of the request on it. rest is what of it is still in this process.
-func OfEnd(h Handed, rest int) control.Result {
-	if h == Nothing || h == Partly && rest > 0 {
+func OfEnd(h Progress, rest int) control.Result {
+	if h == NotBegun || h == Partial && rest > 0 {
 		return control.Unreachable
 	}
 	return control.Reset
--- a/proof/proof_test.go
+++ b/outcome/outcome_test.go
@@ -1,4 +1,4 @@
-package proof
+package outcome
 
 import (
 	"testing"
@@ -20,10 +20,10 @@
 		t.Error("a spoilt answer proves something")
 	}
 	for _, c := range []struct {
-		h     Handed
+		h     Progress
 		rest  int
 		never bool
-	}{{Nothing, 0, true}, {Nothing, 9, true}, {Partly, 1, true}, {Partly, 0, false}, {Whole, 0, false}} {
+	}{{NotBegun, 0, true}, {NotBegun, 9, true}, {Partial, 1, true}, {Partial, 0, false}, {Complete, 0, false}} {
 		if r := OfEnd(c.h, c.rest); r.NeverRan() != c.never || !r.NeverRan() && !r.Doubtful() {
 			t.Errorf("%+v: %d", c, r)
 		}
--- a/parting/parting.go
+++ b/shutdown/shutdown.go
@@ -1,7 +1,7 @@
-// Package parting decides how a host that was told to end divides the time it has left: until when it takes
+// Package shutdown decides how a host that was told to end divides the time it has left: until when it takes
 // connections and requests, how long a late request may take, and when the rest ends. It does no I/O and
 // reads no clock; internal/live asks it as time passes.
-package parting
+package shutdown
 
 import "time"
 
--- a/parting/parting_test.go
+++ b/shutdown/shutdown_test.go
@@ -1,4 +1,4 @@
-package parting
+package shutdown
 
 import (
 	"testing"
