One deadline over a watch: a silent one is replaced while it is kept, lists are read as a stream

Need: a change counts as told 6 s after a watch fell silent or discovery could be reached. Before: 5 s of silence, then a dial of 1 s, then 5 s for the first byte (discovery.watch), so one try that came to nothing overran; a reader that cut at line ends could not read indented lists; known was served by from the first moment, also where the agent had taken nodes away; changes of an older version were passed over for ever. Now: membership.Keeper (I/O-free): another watch after 2.5 s of silence (a beat is 2 s), a try has 0.6 s from the dial to its first object, pauses 20 to 250 ms; the silent one stays until the new one has spoken, and counts if it speaks again; the same after SIGHUP. A stream of JSON values bounded in bytes. An older version has the whole list asked for. known is told with the agent's first word, or after 1.5 s without one. The sum is proved in explicit time (TestTold), the crossings on sockets (TestSilence, TestSpeaksAgain, TestKnown, TestForms, TestBack, TestMoves, TestFirstList).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,30 +1,22 @@
-// Package discovery follows the platform's list of nodes: an HTTP/1.1 watch, one JSON object a line, taken
-// up again where it broke off. What of it is taken membership says; it judges no node. internal/live makes it; it
-// calls Host.List.
+// Package discovery follows the platform's list of nodes: HTTP/1.1, a watch that sends one JSON object after
+// another, asked for anew where it broke off or fell silent (watch.go reads one connection). What of it is taken,
+// and when a watch is asked for, membership says; it judges no node. internal/live makes it; it calls Host.List.
 package discovery
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net"
-	"strconv"
 	"sync"
 	"time"
 
 	"eiderhold/control"
 	"eiderhold/internal/host"
-	"eiderhold/internal/http1"
 	"eiderhold/membership"
 )
 
-const (
-	dialTime = time.Second
-	lineMost = 4 << 20 // bytes of one object
-)
+const objectMost = 4 << 20 // bytes of one object
 
 // Host hears of lists.
 type Host interface {
@@ -34,16 +26,23 @@
 
 // Feed follows one address at a time.
 type Feed struct {
-	host    Host
-	log     *slog.Logger
-	silence time.Duration
+	host   Host
+	log    *slog.Logger
+	times  membership.Times
+	events chan any
 
 	mu    sync.Mutex
 	addr  string
-	moved chan struct{} // closed when the address changes
+	moved chan struct{} // has room for one: the address has changed
 	now   State
 
-	list *membership.List
+	// the rest belongs to Run
+	list   *membership.List
+	cached *host.List // the list known at the start, not yet told
+	kept   *watch
+	trial  *watch
+	keeper *membership.Keeper
+	began  time.Time
 }
 
 // State is what an operator sees.
@@ -59,21 +58,25 @@
 
 // New makes a feed of an address.
 func New(addr string, h Host, log *slog.Logger) *Feed {
-	return &Feed{host: h, log: log, silence: membership.Silence, addr: addr, moved: make(chan struct{}), list: membership.New()}
+	return &Feed{host: h, log: log, times: membership.Usual, events: make(chan any), addr: addr,
+		moved: make(chan struct{}, 1), list: membership.New()}
 }
 
-// Start tells the host the list that this host held when it was last there: it may be out of date.
+// Start takes the list that this host held when it was last there. It may be out of date, and what the agent has
+// counts as told from a process's first moment: the host is told of it with the agent's first word, or when the
+// agent has said nothing for a while. It must be called before Run.
 func (f *Feed) Start(known []byte) error {
 	var u membership.Update
 	if err := json.Unmarshal(known, &u); err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
 	u.All = true
-	f.tell(control.ListCached, u)
+	l := f.take(control.ListCached, u)
+	f.cached = l
 	return nil
 }
 
-// Follow names another address. The watch at the former one ends at once.
+// Follow names another address. The watch at the former one stays until one at this speaks.
 func (f *Feed) Follow(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -81,8 +84,10 @@
 		return
 	}
 	f.addr = addr
-	close(f.moved)
-	f.moved = make(chan struct{})
+	select {
+	case f.moved <- struct{}{}:
+	default:
+	}
 }
 
 // State returns what is known of the feed.
@@ -106,172 +111,154 @@
 // Fetch does nothing, see Subscribe.
 func (f *Feed) Fetch() {}
 
-// Run follows until ctx ends.
+// Run follows until ctx ends. It alone has the list and the watches; they post to it.
 func (f *Feed) Run(ctx context.Context) {
-	failures := 0
+	f.began = time.Now()
+	f.keeper = membership.NewKeeper(f.times, f.list.Len() == 0)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		addr, moved := f.addr, f.moved
-		f.mu.Unlock()
-		heard, err := f.watch(ctx, addr, moved)
-		f.note(func(s *State) { s.Watching = false })
-		select {
-		case <-moved:
-			f.log.Info("discovery: another address", "former", addr)
-			failures = 0
-			continue
-		default:
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if heard {
-			failures = 0
+		f.step(ctx)
+		due := f.keeper.Due(f.clock())
+		if f.cached != nil {
+			due = min(due, f.times.Start)
 		}
-		pause := membership.Pause(failures)
-		f.log.Warn("discovery: the watch ended; the list held applies meanwhile", "addr", addr, "err", err, "again_in", pause)
+		timer.Reset(max(0, due-f.clock()))
 		select {
 		case <-ctx.Done():
-		case <-moved:
-		case <-time.After(pause):
+		case <-f.moved:
+			f.end(&f.trial)
+			f.keeper.Moved(f.clock())
+			f.log.Info("discovery: another address", "addr", f.State().Address)
+		case e := <-f.events:
+			f.event(e)
+		case <-timer.C:
 		}
-		failures++
 	}
 }
 
-// watch asks for changes and takes them until the watch ends.
-func (f *Feed) watch(ctx context.Context, addr string, moved <-chan struct{}) (heard bool, err error) {
-	d := net.Dialer{Timeout: dialTime}
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return false, fmt.Errorf("discovery: %w", err)
+// clock is the time since Run began.
+func (f *Feed) clock() time.Duration { return time.Since(f.began) }
+
+// step does what is due.
+func (f *Feed) step(ctx context.Context) {
+	if f.cached != nil && f.clock() >= f.times.Start {
+		f.log.Warn("discovery: nothing heard yet; the list known from before applies", "nodes", len(f.cached.Nodes))
+		f.tellCached()
 	}
-	defer conn.Close()
-	over := make(chan struct{})
-	defer close(over)
-	go func() {
-		select {
-		case <-ctx.Done():
-		case <-moved:
-		case <-over:
+	for {
+		switch s := f.keeper.Next(f.clock()); s {
+		case membership.Rest:
+			return
+		case membership.GiveUp:
+			f.log.Warn("discovery: no object in time; the list held applies meanwhile", "addr", f.trial.addr, "within", f.times.Try)
+			f.end(&f.trial)
+		case membership.Refrain:
+			f.end(&f.trial)
+		default:
+			addr := f.State().Address
+			f.trial = f.start(ctx, addr, s == membership.AskAll, f.list.Rev())
+			f.note(func(s *State) { s.Watches++ })
 		}
-		_ = conn.Close()
-	}()
-	p := http1.AppendRequestLine(nil, "GET", "/catalog/members?watch=1&from="+strconv.FormatUint(f.list.Rev(), 10))
-	p = http1.AppendEnd(http1.AppendField(p, "Host", addr))
-	if _, err := conn.Write(p); err != nil {
-		return false, fmt.Errorf("discovery: %w", err)
 	}
-	f.note(func(s *State) { s.Watches++ })
-	r := reader{first: true}
-	buf := make([]byte, 16<<10)
-	for {
-		_ = conn.SetReadDeadline(time.Now().Add(f.silence))
-		n, err := conn.Read(buf)
-		if n > 0 {
-			if err := r.feed(buf[:n], f.line); err != nil {
-				return heard, fmt.Errorf("discovery: %w", err)
-			}
-			heard = heard || r.lines > 0
-			f.note(func(s *State) { s.Heard, s.Watching = time.Now(), true })
+}
+
+// end gives up a watch; what it may still post is for nobody.
+func (f *Feed) end(w **watch) {
+	if *w != nil {
+		(*w).cancel()
+		*w = nil
+	}
+}
+
+// event takes what a watch has posted.
+func (f *Feed) event(e any) {
+	now := f.clock()
+	switch e := e.(type) {
+	case spoke:
+		if e.w == f.kept {
+			f.keeper.Heard(now)
+			f.note(func(s *State) { s.Heard = time.Now() })
 		}
-		if err != nil {
-			return heard, fmt.Errorf("discovery: %w", err)
+	case object:
+		switch e.w {
+		case f.trial:
+			f.trial = nil
+			f.keeper.Proved(now)
+			if e.w.whole {
+				e.w.cancel() // it was all that was asked for
+			} else {
+				f.end(&f.kept)
+				f.kept = e.w
+				f.note(func(s *State) { s.Heard, s.Watching = time.Now(), true })
+			}
+		case f.kept:
+			f.keeper.Heard(now)
+		default:
+			return // of one that was given up
 		}
-		if r.done {
-			return heard, errors.New("discovery: the answer ended")
+		f.update(e.u)
+	case ended:
+		switch e.w {
+		case f.trial:
+			f.trial = nil
+			f.keeper.Failed(now)
+		case f.kept:
+			f.kept = nil
+			f.keeper.Ended(now)
+			f.note(func(s *State) { s.Watching = false })
+		default:
+			return
 		}
+		f.log.Warn("discovery: a connection ended; the list held applies meanwhile", "addr", e.w.addr, "err", e.err)
 	}
 }
 
-// line takes one line of the watch.
-func (f *Feed) line(b []byte) error {
-	if len(bytes.TrimSpace(b)) == 0 {
-		return nil // a beat
-	}
-	var u membership.Update
-	if err := json.Unmarshal(b, &u); err != nil {
-		return fmt.Errorf("line of %d bytes: %w", len(b), err)
-	}
+// update takes an object, and tells the host.
+func (f *Feed) update(u membership.Update) {
 	kind := control.ListDelta
 	if u.All {
-		kind = control.ListFull
+		kind, f.cached = control.ListFull, nil
+	}
+	l := f.take(kind, u)
+	if u.All || l != nil || f.list.Rev() == u.Rev {
+		f.tellCached()
+	}
+	if l != nil {
+		f.host.List(*l)
+	}
+}
+
+// tellCached tells the host the list known at the start, if it has not been.
+func (f *Feed) tellCached() {
+	if f.cached != nil {
+		f.host.List(*f.cached)
+		f.cached = nil
 	}
-	f.tell(kind, u)
-	return nil
 }
 
-// tell hands an update to the host.
-func (f *Feed) tell(kind control.ListKind, u membership.Update) {
+// take takes an update, and returns what the host is to be told of it; nil: nothing.
+func (f *Feed) take(kind control.ListKind, u membership.Update) *host.List {
 	held := f.list.Rev()
-	nodes, passed, fresh := f.list.Take(u)
-	if !fresh {
-		f.log.Info("discovery: what is held already, or older", "rev", u.Rev, "held", held)
-		return
+	nodes, passed, verdict := f.list.Take(u)
+	switch verdict {
+	case membership.Held:
+		return nil
+	case membership.Back:
+		f.log.Warn("discovery: a version older than the one held; the whole list is asked for", "rev", u.Rev, "held", held)
+		f.keeper.Astray()
+		return nil
 	}
 	for _, err := range passed {
 		f.log.Warn("discovery: an entry is passed over", "err", err)
 	}
-	l := host.List{Kind: kind}
+	l := &host.List{Kind: kind}
 	for _, n := range nodes {
 		if n.BootMS > 0 {
 			n.StartedAt = f.host.StartedAt(n.ID, time.UnixMilli(n.BootMS))
 		}
 		l.Nodes = append(l.Nodes, host.Node{Node: n.Node, Addr: n.Endpoint})
 	}
-	f.host.List(l)
 	f.note(func(s *State) { s.Rev, s.Nodes, s.Passed = u.Rev, f.list.Len(), s.Passed+uint64(len(passed)) })
-}
-
-// reader takes the head of the watch's answer, then its lines.
-type reader struct {
-	first  bool
-	in     []byte
-	chunks *http1.Chunks
-	lines  int
-	done   bool
-}
-
-func (r *reader) feed(p []byte, line func([]byte) error) error {
-	if r.first {
-		r.in = append(r.in, p...)
-		h, n, err := http1.ParseResponse(r.in, 0)
-		if err == http1.ErrShort {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if h.Status != 200 {
-			return fmt.Errorf("status %d: expected 200", h.Status)
-		}
-		r.first = false
-		if h.Body.Chunked {
-			r.chunks = &http1.Chunks{}
-		}
-		p, r.in = r.in[n:], nil
-	}
-	if r.chunks == nil {
-		r.in = append(r.in, p...)
-	} else {
-		var err error
-		if r.in, _, r.done, err = r.chunks.Feed(r.in, p); err != nil {
-			return err
-		}
-	}
-	for {
-		i := bytes.IndexByte(r.in, '\n')
-		if i < 0 {
-			break
-		}
-		r.lines++
-		if err := line(r.in[:i]); err != nil {
-			return err
-		}
-		r.in = r.in[:copy(r.in, r.in[i+1:])]
-	}
-	if len(r.in) > lineMost {
-		return fmt.Errorf("a line of over %d bytes", lineMost)
-	}
-	return nil
+	return l
 }
--- a/internal/live/live_test.go
+++ b/internal/live/live_test.go
@@ -50,6 +50,14 @@
 func newRig(t *testing.T, targets ...string) *rig {
 	t.Helper()
 	a := newAgent(t)
+	r := newRigAt(t, a, targets...)
+	r.watch = a.Next()
+	return r
+}
+
+// newRigAt starts one whose discovery is there.
+func newRigAt(t *testing.T, a *standin.Agent, targets ...string) *rig {
+	t.Helper()
 	cfg, err := Parse([]byte(config(a.Addr(), standin.List(1, true, targets...))), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
@@ -58,7 +66,6 @@
 	if r.Live, err = Start(cfg, slog.New(slog.NewTextHandler(r.log, nil))); err != nil {
 		t.Fatal(err)
 	}
-	r.watch = a.Next()
 	go func() {
 		r.ended <- r.Attend(r.signals, func() (*Config, error) {
 			r.mu.Lock()
@@ -172,6 +179,34 @@
 	}
 }
 
+// TestFirstList: what a host knew from before is not served by until the agent has spoken, and a node that its
+// first list takes away gets nothing.
+func TestFirstList(t *testing.T) {
+	gone, there := newNode(t, echo), newNode(t, echo)
+	speak := make(chan bool)
+	a, err := standin.NewAgentWith("", func(w standin.Watch) {
+		<-speak
+		w.Head()
+		w.Line(standin.List(9, true, standin.Target("s-2", there.Addr(), 0, "active", 0)))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Close)
+	r := newRigAt(t, a, standin.Target("s-1", gone.Addr(), 0, "active", 0))
+	const health = "GET /_health HTTP/1.1\r\nHost: o\r\n\r\n"
+	if got := r.say(health); !strings.HasPrefix(got, "503") {
+		t.Fatalf("ready by the list known from before: %q", got)
+	}
+	close(speak)
+	for !strings.HasPrefix(r.say(health), "200") {
+	}
+	r.expect(r.ask(1, 0), served(1))
+	if n := len(gone.Seen(0)); n != 0 || len(there.Seen(1)) != 1 {
+		t.Fatalf("%d requests to the node that is gone", n)
+	}
+}
+
 // TestDrainWhileHeld: requests that are held for a node as it is told to drain are answered, and none of
 // them goes there any more.
 func TestDrainWhileHeld(t *testing.T) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -153,21 +153,41 @@
 type Agent struct {
 	ln      net.Listener
 	watches chan Watch
+	greet   func(Watch)
 }
 
-// Watch is one watch that was asked for.
+// Watch is one connection on which the list was asked for: a watch, or the whole list once.
 type Watch struct {
-	From uint64
-	Conn net.Conn
+	From  uint64
+	Whole bool
+	Conn  net.Conn
 }
 
 // Line sends one line as a chunk; an empty one is a beat.
-func (w Watch) Line(text string) {
-	fmt.Fprintf(w.Conn, "%x\r\n%s\n\r\n", len(text)+1, text)
+func (w Watch) Line(text string) { w.Chunk(text + "\n") }
+
+// Chunk sends a text as a chunk.
+func (w Watch) Chunk(text string) { fmt.Fprintf(w.Conn, "%x\r\n%s\r\n", len(text), text) }
+
+// Head sends the answer's head.
+func (w Watch) Head() {
+	_, _ = io.WriteString(w.Conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+// Greet is what an agent does with each connection unless a test says otherwise: a watch gets its first object,
+// which says that nothing has changed; to who asks for the whole list the test sends it.
+func Greet(w Watch) {
+	w.Head()
+	if !w.Whole {
+		w.Line(List(w.From, false))
+	}
 }
 
 // NewAgent starts discovery at an address; empty: any.
-func NewAgent(addr string) (*Agent, error) {
+func NewAgent(addr string) (*Agent, error) { return NewAgentWith(addr, Greet) }
+
+// NewAgentWith has greet begin each answer.
+func NewAgentWith(addr string, greet func(Watch)) (*Agent, error) {
 	if addr == "" {
 		addr = "127.0.0.1:0"
 	}
@@ -175,7 +195,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in discovery: %w", err)
 	}
-	a := &Agent{ln: ln, watches: make(chan Watch, 16)}
+	a := &Agent{ln: ln, watches: make(chan Watch, 1024), greet: greet}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -194,12 +214,14 @@
 		_ = c.Close()
 		return
 	}
-	from, _ := strconv.ParseUint(req.URL.Query().Get("from"), 10, 64)
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-	a.watches <- Watch{from, c}
+	q := req.URL.Query()
+	w := Watch{Whole: q.Get("watch") != "1", Conn: c}
+	w.From, _ = strconv.ParseUint(q.Get("from"), 10, 64)
+	a.greet(w)
+	a.watches <- w
 }
 
-// Next waits for the next watch.
+// Next waits for the next connection.
 func (a *Agent) Next() Watch { return <-a.watches }
 
 // Addr is where discovery listens.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -1,13 +1,12 @@
-// Package membership decides what of discovery's news about nodes is taken, and when the watch is asked for anew.
-// It opens nothing and reads no clock: updates go in as they were told, what the host is to be told comes out.
-// internal/discovery drives it.
+// Package membership decides what of discovery's news about nodes is taken (this file), and when a watch is
+// asked for, given up or left for another one (keeper.go). It opens nothing and reads no clock: updates go in as
+// they were told, what the host is to be told comes out. internal/discovery drives it.
 package membership
 
 import (
 	"encoding/json"
 	"fmt"
 	"net"
-	"time"
 
 	"eiderhold/control"
 )
@@ -15,17 +14,8 @@
 const (
 	nodesMost = 100_000 // entries of the list
 	textMost  = 255     // bytes of a uid or an endpoint
-	pauseLow  = 50 * time.Millisecond
-	pauseTop  = time.Second
-
-	// Silence is after what time without a byte a watch is asked for anew. An empty line comes every 2 s, and
-	// what discovery has to tell counts as told 6 s later, whether it arrived or not.
-	Silence = 5 * time.Second
 )
 
-// Pause is how long to wait before the watch is asked for again, after so many failures on end.
-func Pause(failures int) time.Duration { return min(pauseTop, pauseLow<<min(failures, 10)) }
-
 // Entry is one node as discovery tells it.
 type Entry struct {
 	UID      string  `json:"uid"`
@@ -68,15 +58,28 @@
 // Len is the number of nodes held.
 func (l *List) Len() int { return len(l.known) }
 
-// Take takes an update. fresh is false for changes that are held already, or older: a watch that was taken up
-// again may repeat them, and an older state must not replace a newer one. A whole list is always taken.
-// Entries that cannot be used are named and passed over; the others count.
-func (l *List) Take(u Update) (nodes []Node, passed []error, fresh bool) {
-	if !u.All && (u.Rev < l.rev || u.Rev == l.rev && len(u.Targets) == 0) {
-		return nil, nil, false
-	}
-	if u.All {
+// Verdict says what an update is.
+type Verdict int
+
+// The verdicts.
+const (
+	Fresh Verdict = iota // it was taken
+	Held                 // it tells nothing: the version held, and no entries
+	Back                 // changes older than what is held: the whole list has to be asked for
+)
+
+// Take takes an update. Changes of an older version than the one held are not taken: an older state must not
+// replace a newer one, and who tells them counts from elsewhere than this list. Versions may jump: not every
+// one changes an entry. A whole list is always taken. Entries that cannot be used are named and passed over;
+// the others count.
+func (l *List) Take(u Update) (nodes []Node, passed []error, v Verdict) {
+	switch {
+	case u.All:
 		clear(l.known)
+	case u.Rev < l.rev:
+		return nil, nil, Back
+	case u.Rev == l.rev && len(u.Targets) == 0:
+		return nil, nil, Held
 	}
 	for i, raw := range u.Targets {
 		n, err := l.entry(raw)
@@ -92,7 +95,7 @@
 		nodes = append(nodes, n)
 	}
 	l.rev = u.Rev
-	return nodes, passed, true
+	return nodes, passed, Fresh
 }
 
 // entry reads one entry.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"eiderhold/control"
 )
@@ -27,19 +26,21 @@
 	l := New()
 	for _, c := range []struct {
 		u           Update
-		fresh       bool
+		verdict     Verdict
 		nodes, held int
 	}{
-		{update(5, true, target("a", "active"), target("b", "leaving")), true, 2, 2},
-		{update(5, false), false, 0, 2},
-		{update(4, false, target("a", "left")), false, 0, 2},
-		{update(6, false, target("a", "left")), true, 1, 1},
-		{update(9, false, target("c", "active")), true, 1, 2},
-		{update(3, true, target("d", "active")), true, 1, 1}, // whole: what it does not name is gone
+		{update(5, true, target("a", "active"), target("b", "leaving")), Fresh, 2, 2},
+		{update(5, false), Held, 0, 2},
+		{update(4, false, target("a", "left")), Back, 0, 2},
+		{update(4, false), Back, 0, 2},
+		{update(5, false, target("b", "leaving")), Fresh, 1, 2},
+		{update(6, false, target("a", "left")), Fresh, 1, 1},
+		{update(9, false, target("c", "active")), Fresh, 1, 2},
+		{update(3, true, target("d", "active")), Fresh, 1, 1}, // whole: what it does not name is gone
 	} {
-		nodes, passed, fresh := l.Take(c.u)
-		if fresh != c.fresh || len(nodes) != c.nodes || l.Len() != c.held || len(passed) != 0 || fresh && l.Rev() != c.u.Rev {
-			t.Errorf("rev %d: %+v, %v, fresh %v, %d held", c.u.Rev, nodes, passed, fresh, l.Len())
+		nodes, passed, v := l.Take(c.u)
+		if v != c.verdict || len(nodes) != c.nodes || l.Len() != c.held || len(passed) != 0 || v == Fresh && l.Rev() != c.u.Rev {
+			t.Errorf("rev %d: %+v, %v, verdict %d, %d held", c.u.Rev, nodes, passed, v, l.Len())
 		}
 	}
 	nodes, _, _ := l.Take(update(10, false, target("e", "leaving")))
@@ -58,9 +59,3 @@
 		t.Errorf("%v, %d held", passed, l.Len())
 	}
 }
-
-func TestPause(t *testing.T) {
-	if Pause(0) != pauseLow || Pause(1) != 2*pauseLow || Pause(100) != time.Second {
-		t.Errorf("%v, %v, %v", Pause(0), Pause(1), Pause(100))
-	}
-}
