One orderly close: flush, shut sending, read on to the peer's end; nothing unread is lost

At fault: front.answer, look, closeIdle and refuse closed at once; a close over unread bytes is a reset, which takes an answer with it that the client has not read. closeIdle closed connections on which a request lay unread in the kernel; half a request could become whole between the last answer and the end of the process. Now loop.Finish is the one way (front, and idle connections of the backend): flush, SHUT_WR, read and throw away up to 1 s or 1 MiB, close. Places of those that are being closed go first where there is none. Shutdown gets a last phase: half-read requests are refused, nothing more is read. Listening ends after what the kernel has accepted was taken; a failing accept backs off. Renames: Deaf, Keep, Rest, Within, Attend are StopListening, KeepAlive, CloseIdle, EndBy, Serve.

--- a/cmd/eiderhold/live.go
+++ b/cmd/eiderhold/live.go
@@ -35,7 +35,7 @@
 			if err != nil {
 				return err
 			}
-			if err := l.Attend(signals, func() (*live.Config, error) { return live.Load(os.Getenv) }); err != nil {
+			if err := l.Serve(signals, func() (*live.Config, error) { return live.Load(os.Getenv) }); err != nil {
 				return short{err}
 			}
 			return nil
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -169,7 +169,7 @@
 	old := b.pool.Old(b.now(), func(id string) bool { n := b.nodes[id]; return n != nil && n.listed })
 	for _, c := range old {
 		c.pooled = false
-		b.loop.Close(c.g)
+		b.loop.Finish(c.g)
 	}
 	for id, n := range b.nodes {
 		if busy, idle, opening := b.pool.Count(id); !n.listed && len(n.waiting)+busy+idle+opening == 0 {
--- a/internal/backend/http/backend_test.go
+++ b/internal/backend/http/backend_test.go
@@ -372,6 +372,27 @@
 	}
 }
 
+// TestTimeTold: an attempt that waited for its connection tells the time that is left as its bytes are written.
+func TestTimeTold(t *testing.T) {
+	release := make(chan bool)
+	slow := newNode(t, func(standin.Seen) standin.Reply { <-release; return standin.Reply{Text: standin.Served("x")} })
+	other := newNode(t, always(standin.Served("y")))
+	r := newRig(t, 1, slow.Addr(), other.Addr())
+	r.send("a", "x")
+	slow.Seen(1)
+	began := time.Now()
+	r.send("b", "y")
+	r.counts() // it waits from now on
+	const wait = 30 * time.Millisecond
+	time.AfterFunc(wait, func() { close(release) })
+	<-r.out
+	<-r.out
+	left, err := strconv.Atoi(other.Seen(1)[0].Left)
+	if err != nil || left > int((5*time.Second-wait).Milliseconds()) || left < int((5*time.Second-time.Since(began)).Milliseconds())-1 {
+		t.Fatalf("told %d ms after %v: %v", left, time.Since(began), err)
+	}
+}
+
 // TestNoRoomYet: an attempt for which there is no descriptor goes out when another has ended.
 func TestNoRoomYet(t *testing.T) {
 	release := make(chan bool)
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -26,6 +27,8 @@
 
 const (
 	lookEvery  = 100 * time.Millisecond // for connections whose time is up
+	acceptLast = 20 * time.Millisecond  // for connections that wait in the kernel as listening ends
+	acceptTop  = 100 * time.Millisecond // longest pause after a connection could not be accepted
 	bindWithin = 3 * time.Second        // a former process may still hold the address
 	heldMost   = http1.MaxHead + http1.MaxBody
 )
@@ -57,10 +60,10 @@
 	cancel context.CancelFunc // ends looking after connections
 	done   sync.WaitGroup
 
-	mu    sync.Mutex // guards taken
-	room  *sync.Cond
-	taken int // connections accepted and not yet closed
-	deaf  bool
+	mu     sync.Mutex // guards taken
+	room   *sync.Cond
+	taken  int  // connections accepted and not yet closed
+	closed bool // no more are taken but those that the kernel has
 
 	// the rest belongs to the loop
 	conns    map[*conn]bool
@@ -115,13 +118,15 @@
 // accept takes new connections as long as there is room for them. Guards against running out of
 // descriptors: what is over the ceiling waits in the kernel until another connection has gone.
 func (f *Front) accept() {
+	defer f.ln.Close()
+	pause := time.Millisecond
 	for {
 		f.mu.Lock()
-		for f.taken >= f.opt.Conns && !f.deaf {
+		for f.taken >= f.opt.Conns && !f.closed {
 			f.opt.Loop.Do(f.makeRoom)
 			f.room.Wait()
 		}
-		if f.deaf {
+		if f.taken >= f.opt.Conns { // closed, and no place for those that wait
 			f.mu.Unlock()
 			return
 		}
@@ -130,13 +135,15 @@
 		c, err := f.ln.Accept()
 		if err != nil {
 			f.free()
-			if errors.Is(err, net.ErrClosed) {
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 				return
 			}
-			f.opt.Log.Warn("http front: accept", "err", err)
-			time.Sleep(5 * time.Millisecond) // no descriptor for it: the next attempt may find one
+			f.opt.Log.Warn("http front: accept", "err", err, "again_in", pause)
+			time.Sleep(pause) // no descriptor for it: a later try may find one
+			pause = min(2*pause, acceptTop)
 			continue
 		}
+		pause = time.Millisecond
 		if err := f.opt.Loop.Add(c, &conn{f: f}); err != nil {
 			f.free()
 			f.opt.Log.Warn("http front: connection", "err", err)
@@ -164,26 +171,23 @@
 	now := f.opt.Host.Now()
 	taken, of := f.places()
 	for c := range f.conns {
-		if c.closing && c.g.OutboundBuffered() == 0 {
-			f.opt.Loop.Close(c.g)
+		if c.ending {
 			continue
 		}
 		if c.out && c.g.OutboundBuffered() == 0 { // a slow reader has taken its answer
 			c.out = false
 			c.since = now
-			if c.next() == gnet.Close {
-				f.opt.Loop.Close(c.g)
+			c.next()
+			if c.ending {
 				continue
 			}
 		}
 		switch limits.Judge(now, c.known(), taken, of) {
 		case limits.Leave:
-			f.stats.Evicted++
-			f.opt.Loop.Close(c.g)
+			c.evict()
 		case limits.Late:
 			f.stats.Late++
 			c.refuse(408, "the request did not come in time")
-			f.opt.Loop.Close(c.g)
 		}
 	}
 	if taken >= of {
@@ -209,18 +213,40 @@
 	}
 	if worst != nil {
 		f.stats.Evicted++
-		f.opt.Loop.Close(worst.g)
+		f.opt.Loop.Close(worst.g) // its place is needed now
 	}
 }
 
-// Within has requests that come from now on end by a reading of the host's clock, even if their client would
+// evict ends a connection that asks nothing, or does not take its answer. What has come on it meanwhile is read
+// instead.
+func (c *conn) evict() {
+	switch {
+	case c.out || !c.asked && len(c.in) == 0 && !loop.Unread(c.g): // it was never answered: nothing to be lost
+		c.f.opt.Loop.Close(c.g)
+	case loop.Unread(c.g):
+		return
+	default:
+		c.finish()
+	}
+	c.f.stats.Evicted++
+}
+
+// finish closes the connection in order: nothing that comes on it is read as a request any more.
+func (c *conn) finish() {
+	c.ending, c.since = true, c.f.opt.Host.Now()
+	c.f.drop(c)
+	c.f.opt.Loop.Finish(c.g)
+}
+
+// EndBy has requests that come from now on end by a reading of the host's clock, even if their client would
 // wait longer.
-func (f *Front) Within(until time.Duration) { f.opt.Loop.Do(func() { f.until = until }) }
+func (f *Front) EndBy(until time.Duration) { f.opt.Loop.Do(func() { f.until = until }) }
 
-// Keep has connections go on after their answers, however few places are left: clients find no others any more.
-func (f *Front) Keep() { f.opt.Loop.Do(func() { f.keep = true }) }
+// KeepAlive has connections go on after their answers, however few places are left: clients find no others any
+// more.
+func (f *Front) KeepAlive() { f.opt.Loop.Do(func() { f.keep = true }) }
 
-// Drain has every answer end its connection, and ends those that have no request open.
+// Drain has every answer end its connection, and ends those that are idle.
 func (f *Front) Drain() {
 	f.opt.Loop.Do(func() {
 		f.draining = true
@@ -228,35 +254,55 @@
 	})
 }
 
+// closeIdle ends connections on which nothing has come since the last answer. One on which a request has, read or
+// not, goes on until its answer.
 func (f *Front) closeIdle() {
 	for c := range f.conns {
-		if c.req == nil && len(c.in) == 0 && !c.out && !c.closing {
-			f.opt.Loop.Close(c.g)
+		if c.req == nil && len(c.in) == 0 && !c.out && !c.ending && !loop.Unread(c.g) {
+			c.finish()
 		}
 	}
 }
 
-// Rest has fn called, on the loop, with the number of connections left after those without a request were
-// closed again.
-func (f *Front) Rest(fn func(conns int)) {
+// CloseIdle has fn called, on the loop, with the number of connections left after those that are idle were ended
+// again.
+func (f *Front) CloseIdle(fn func(conns int)) {
 	f.opt.Loop.Do(func() {
 		f.closeIdle()
 		fn(len(f.conns))
 	})
 }
 
-// Deaf ends listening.
-func (f *Front) Deaf() {
+// Shut ends all connections without an open request, whatever has come of the next one: what is half read gets
+// its refusal, what is not read is not.
+func (f *Front) Shut() {
+	f.opt.Loop.Do(func() {
+		for c := range f.conns {
+			switch {
+			case c.ending || c.req != nil:
+			case len(c.in) > 0 && !c.out:
+				c.refuse(503, "the host ends")
+			default:
+				c.finish()
+			}
+		}
+	})
+}
+
+// StopListening takes the connections that the kernel has accepted already, then no more.
+func (f *Front) StopListening() {
 	f.mu.Lock()
-	f.deaf = true
+	f.closed = true
 	f.room.Broadcast()
 	f.mu.Unlock()
-	_ = f.ln.Close()
+	if l, ok := f.ln.(*net.TCPListener); ok {
+		_ = l.SetDeadline(time.Now().Add(acceptLast))
+	}
 }
 
 // Close ends listening and waits for what runs beside the loop. The connections end with the loop.
 func (f *Front) Close() {
-	f.Deaf()
+	f.StopListening()
 	f.cancel()
 	f.done.Wait()
 }
@@ -278,14 +324,14 @@
 	doomed  bool          // what comes is thrown away, and the connection ends with the answer
 	asked   bool
 	out     bool // the last answer is not yet out whole
-	closing bool // ends when it is
+	ending  bool // it is being closed: nothing is read from it any more
 	gone    bool
 	opened  time.Duration
 	since   time.Duration
 }
 
 func (c *conn) known() limits.Conn {
-	return limits.Conn{Open: c.req != nil, Taking: c.out || c.closing, Asked: c.asked, Begun: len(c.in) > 0,
+	return limits.Conn{Open: c.req != nil, Taking: c.out, Ending: c.ending, Asked: c.asked, Begun: len(c.in) > 0,
 		Opened: c.opened, Since: c.since}
 }
 
@@ -319,7 +365,7 @@
 	for f.held+int64(n) > f.opt.Bytes {
 		var most *conn
 		for o := range f.conns {
-			if o != c && o.req == nil && !o.out && !o.closing && (most == nil || len(o.in) > len(most.in)) {
+			if o != c && o.req == nil && !o.out && !o.ending && (most == nil || len(o.in) > len(most.in)) {
 				most = o
 			}
 		}
@@ -327,7 +373,6 @@
 			return false
 		}
 		most.refuse(503, "more bytes of requests held than allowed")
-		f.opt.Loop.Close(most.g)
 	}
 	return true
 }
@@ -352,7 +397,7 @@
 	if err != nil || c.gone {
 		return gnet.None
 	}
-	if c.doomed || c.closing {
+	if c.doomed {
 		return gnet.None
 	}
 	if len(c.in) == 0 && c.req == nil && !c.out {
@@ -367,38 +412,36 @@
 	}
 	if short {
 		c.refuse(503, "more bytes of requests held than allowed")
-		return gnet.Close
+		return gnet.None
 	}
 	c.f.held += int64(len(p))
 	c.in = append(c.in, p...)
-	return c.next()
+	c.next()
+	return gnet.None
 }
 
 // next goes on with what has come, until a request is open.
-func (c *conn) next() gnet.Action {
-	for c.req == nil && !c.out && !c.closing && !c.gone && len(c.in) > 0 {
+func (c *conn) next() {
+	for c.req == nil && !c.out && !c.ending && !c.gone && len(c.in) > 0 {
 		if !c.headed {
 			h, n, err := http1.ParseRequest(c.in, c.looked)
 			if err == http1.ErrShort {
 				c.looked = len(c.in)
-				return gnet.None
+				return
 			}
 			if err == nil {
 				err = c.begin(&h, n)
 			}
 			if err != nil {
 				c.refuse(statusOf(err), err.Error())
-				return gnet.Close
+				return
 			}
 		}
 		if len(c.in) < c.want {
-			return gnet.None
-		}
-		if c.whole() == gnet.Close {
-			return gnet.Close
+			return
 		}
+		c.whole()
 	}
-	return gnet.None
 }
 
 // begin takes a head.
@@ -427,7 +470,7 @@
 }
 
 // whole hands a request that has come whole to the host.
-func (c *conn) whole() gnet.Action {
+func (c *conn) whole() {
 	f, r := c.f, c.pending
 	if r != nil && c.want > c.headLen {
 		r.Message.Body = append([]byte(nil), c.in[c.headLen:c.want]...)
@@ -440,13 +483,16 @@
 	}
 	c.headed, c.pending, c.looked, c.asked = false, nil, 0, true
 	if r == nil {
+		status := 503
 		if f.opt.Ready() {
-			return c.answer(200, "", nil)
+			status = 200
 		}
-		return c.answer(503, "", nil)
+		c.answer(status, "", nil)
+		return
 	}
 	if f.ids[r.Message.ID] != nil {
-		return c.answer(409, "", []byte("Request-Id: a request with it is open\n"))
+		c.answer(409, "", []byte("Request-Id: a request with it is open\n"))
+		return
 	}
 	if f.until > 0 {
 		r.Expires = min(r.Expires, max(time.Millisecond, f.until-f.opt.Host.Now()))
@@ -456,12 +502,12 @@
 	id, err := f.opt.Host.Submit(r)
 	if err != nil { // nothing has run: trying again is harmless
 		f.stats.Refused++
-		return c.answer(503, seconds(limits.Again), []byte(err.Error()+"\n"))
+		c.answer(503, seconds(limits.Again), []byte(err.Error()+"\n"))
+		return
 	}
 	c.req, c.id, c.body = r, id, len(r.Message.Body)
 	f.held += int64(c.body)
 	f.ids[r.Message.ID] = c
-	return gnet.None
 }
 
 // final passes the host's final answer on.
@@ -472,24 +518,18 @@
 	}
 	f := c.f
 	c.over()
-	var action gnet.Action
 	switch a.Kind {
 	case host.Served:
 		f.stats.Served++
-		action = c.answer(200, "", a.Data.B)
+		c.answer(200, "", a.Data.B)
 	case host.Refused:
 		f.stats.Refused++
-		action = c.answer(503, seconds(a.RetryAfter), nil)
+		c.answer(503, seconds(a.RetryAfter), nil)
 	default:
 		f.stats.Failed++
-		action = c.answer(504, "", []byte(a.Cause+"\n"))
-	}
-	if action == gnet.None {
-		action = c.next()
-	}
-	if action == gnet.Close && !c.gone {
-		f.opt.Loop.Close(c.g)
+		c.answer(504, "", []byte(a.Cause+"\n"))
 	}
+	c.next()
 }
 
 // seconds is a Retry-After.
@@ -507,8 +547,8 @@
 	c.answer(status, again, []byte(text+"\n"))
 }
 
-// answer writes one answer.
-func (c *conn) answer(status int, retryAfter string, body []byte) gnet.Action {
+// answer writes one answer, and ends the connection if it is the last one.
+func (c *conn) answer(status int, retryAfter string, body []byte) {
 	end := c.close || c.doomed || c.f.draining || !c.f.keep && !limits.Keep(c.f.places())
 	b := make([]byte, 0, 192+len(body))
 	b = http1.AppendStatus(b, status)
@@ -521,15 +561,12 @@
 	}
 	b = append(http1.AppendEnd(b), body...)
 	if _, err := c.g.Write(b); err != nil || c.gone {
-		return gnet.None
+		return
 	}
 	c.since = c.f.opt.Host.Now()
-	if c.g.OutboundBuffered() > 0 {
-		c.out, c.closing = !end, end
-		return gnet.None
-	}
 	if end {
-		return gnet.Close
+		c.finish()
+		return
 	}
-	return gnet.None
+	c.out = c.g.OutboundBuffered() > 0
 }
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -127,8 +127,8 @@
 // Reload takes what of another configuration can change while running: where discovery is.
 func (l *Live) Reload(cfg *Config) { l.feed.Follow(cfg.Discovery) }
 
-// Attend serves until a signal ends it, or the host loop does. reload reads the configuration again.
-func (l *Live) Attend(signals <-chan os.Signal, reload func() (*Config, error)) error {
+// Serve serves until a signal ends it, or the host loop does. reload reads the configuration again.
+func (l *Live) Serve(signals <-chan os.Signal, reload func() (*Config, error)) error {
 	every := time.NewTicker(statsEvery)
 	defer every.Stop()
 	for {
@@ -170,18 +170,21 @@
 	}
 	plan, began, clock := shutdown.New(longest), time.Now(), l.host.Now()
 	was := shutdown.Phase{Accept: true, Serve: true}
-	l.front.Keep()
+	l.front.KeepAlive()
 	for {
 		ph := plan.At(time.Since(began))
 		if was.Accept && !ph.Accept {
-			l.front.Deaf()
+			l.front.StopListening()
 		}
 		if was.Within == 0 && ph.Within > 0 {
-			l.front.Within(clock + ph.Within)
+			l.front.EndBy(clock + ph.Within)
 		}
 		if was.Serve && !ph.Serve {
 			l.front.Drain()
 		}
+		if !was.Shut && ph.Shut {
+			l.front.Shut()
+		}
 		was = ph
 		if ph.Over {
 			l.log.Warn("ending with connections open, as the time is up")
@@ -196,10 +199,10 @@
 	return l.Close()
 }
 
-// left closes connections without a request, and says how many there are still.
+// left closes idle connections, and says how many there are still.
 func (l *Live) left() int {
 	left := make(chan int, 1)
-	l.front.Rest(func(conns int) { left <- conns })
+	l.front.CloseIdle(func(conns int) { left <- conns })
 	return <-left
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -37,12 +37,16 @@
 	mu   sync.Mutex
 	box  []func()
 	rung bool
+
+	// the rest belongs to the loop
+	endings  map[gnet.Conn]*ending
+	sweeping bool // a timer for them runs
 }
 
 // Start starts a loop.
 func Start(log *slog.Logger) (*Loop, error) {
-	l := &Loop{log: log}
-	client, err := gnet.NewClient(&handler{}, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+	l := &Loop{log: log, endings: map[gnet.Conn]*ending{}}
+	client, err := gnet.NewClient(&handler{l: l}, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(telemetry.Gnet{Log: log}), gnet.WithReadBufferCap(readCap), gnet.WithWriteBufferCap(readCap))
 	if err == nil {
 		err = client.Start()
@@ -140,15 +144,20 @@
 type member struct {
 	Peer
 	opened bool
+	ending *ending // it is being closed in order
 }
 
-// Close ends a connection, on the loop: Closed runs before it returns.
+// Close ends a connection at once, on the loop: Closed runs before it returns. Where the other side may still
+// have something to read, or may be sending, Finish is the way.
 func (l *Loop) Close(g gnet.Conn) { _ = l.el.Close(g) }
 
 // Stop ends the loop and all connections on it.
 func (l *Loop) Stop() error { return l.client.Stop() }
 
-type handler struct{ gnet.BuiltinEventEngine }
+type handler struct {
+	gnet.BuiltinEventEngine
+	l *Loop
+}
 
 func (*handler) OnOpen(g gnet.Conn) ([]byte, gnet.Action) {
 	m := g.Context().(*member)
@@ -157,9 +166,22 @@
 	return nil, gnet.None
 }
 
-func (*handler) OnTraffic(g gnet.Conn) gnet.Action { return g.Context().(*member).Traffic(g) }
+func (h *handler) OnTraffic(g gnet.Conn) gnet.Action {
+	m := g.Context().(*member)
+	if e := m.ending; e != nil {
+		n, _ := g.Discard(-1)
+		e.read += n
+		h.l.finish(g, e)
+		return gnet.None
+	}
+	return m.Traffic(g)
+}
 
-func (*handler) OnClose(g gnet.Conn, err error) gnet.Action {
-	g.Context().(*member).Closed(g, err)
+func (h *handler) OnClose(g gnet.Conn, err error) gnet.Action {
+	m := g.Context().(*member)
+	if m.ending != nil {
+		delete(h.l.endings, g)
+	}
+	m.Closed(g, err)
 	return gnet.None
 }
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,172 @@
+package loop
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+)
+
+// peer takes what a test tells it to do with bytes.
+type peer struct {
+	opened  chan gnet.Conn
+	traffic func(gnet.Conn, []byte) gnet.Action
+	closed  chan error
+}
+
+func newPeer(traffic func(gnet.Conn, []byte) gnet.Action) *peer {
+	return &peer{make(chan gnet.Conn, 1), traffic, make(chan error, 1)}
+}
+
+func (p *peer) Opened(g gnet.Conn)            { p.opened <- g }
+func (p *peer) Closed(_ gnet.Conn, err error) { p.closed <- err }
+func (p *peer) Traffic(g gnet.Conn) gnet.Action {
+	b, _ := g.Next(-1)
+	return p.traffic(g, b)
+}
+
+// pair starts a loop with one accepted connection on it, and returns the other side.
+func pair(t *testing.T, p *peer) (*Loop, net.Conn) {
+	t.Helper()
+	l, err := Start(slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Add(s, p); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Close()
+		if err := l.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return l, c
+}
+
+// TestNoDelay: small writes are not held back, on accepted and on dialled connections.
+func TestNoDelay(t *testing.T) {
+	p := newPeer(nil)
+	l, c := pair(t, p)
+	dialled := newPeer(nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	d, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Add(d, dialled); err != nil {
+		t.Fatal(err)
+	}
+	for name, g := range map[string]gnet.Conn{"accepted": <-p.opened, "dialled": <-dialled.opened} {
+		got := make(chan int)
+		l.Do(func() {
+			v, err := unix.GetsockoptInt(g.Fd(), unix.IPPROTO_TCP, unix.TCP_NODELAY)
+			if err != nil {
+				v = -1
+			}
+			got <- v
+		})
+		if v := <-got; v != 1 {
+			t.Errorf("%s: TCP_NODELAY is %d", name, v)
+		}
+	}
+	_ = c
+}
+
+// TestFinish: an answer larger than the kernel takes at once, and then the end, while the other side goes on
+// sending: it reads the answer whole and an end, no reset, and nothing that it sent meanwhile is traffic.
+func TestFinish(t *testing.T) {
+	answer := bytes.Repeat([]byte("answer"), 4<<20/6)
+	traffics := 0
+	var l *Loop
+	p := newPeer(func(g gnet.Conn, b []byte) gnet.Action {
+		if traffics++; traffics > 1 {
+			return gnet.None
+		}
+		if _, err := g.Write(answer); err != nil {
+			t.Error(err)
+		}
+		l.Finish(g)
+		l.Finish(g) // again changes nothing
+		return gnet.None
+	})
+	l, c := pair(t, p)
+	if _, err := c.Write([]byte("ask")); err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan bool)
+	sent := make(chan bool)
+	go func() { // until the answer has been read, at most what is read and thrown away
+		defer close(sent)
+		for range lingerMost >> 13 {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if _, err := c.Write(make([]byte, 1<<12)); err != nil {
+				return
+			}
+		}
+	}()
+	got := make([]byte, len(answer))
+	if n, err := io.ReadFull(c, got); err != nil || !bytes.Equal(got, answer) {
+		t.Fatalf("%d bytes of %d: %v", n, len(answer), err)
+	}
+	if n, err := c.Read(got); err != io.EOF {
+		t.Fatalf("%d bytes and %v after the answer, expected its end", n, err)
+	}
+	close(stop)
+	<-sent
+	c.Close()
+	<-p.closed
+	if traffics != 1 {
+		t.Fatalf("%d times traffic", traffics)
+	}
+}
+
+// TestFinishBounds: who neither ends nor stops sending is closed all the same.
+func TestFinishBounds(t *testing.T) {
+	for name, flood := range map[string]bool{"says nothing": false, "goes on sending": true} {
+		t.Run(name, func(t *testing.T) {
+			var l *Loop
+			p := newPeer(func(g gnet.Conn, b []byte) gnet.Action { l.Finish(g); return gnet.None })
+			l, c := pair(t, p)
+			if _, err := c.Write([]byte("ask")); err != nil {
+				t.Fatal(err)
+			}
+			for flood {
+				if _, err := c.Write(make([]byte, 1<<16)); err != nil {
+					break
+				}
+			}
+			<-p.closed
+			got := make(chan int)
+			l.Do(func() { got <- len(l.endings) })
+			if n := <-got; n != 0 {
+				t.Fatalf("%d are still ending", n)
+			}
+		})
+	}
+}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -48,6 +48,7 @@
 type Conn struct {
 	Open   bool          // a request of it is open
 	Taking bool          // its last answer is not yet out whole
+	Ending bool          // it is being closed: it waits for the other side's end
 	Asked  bool          // it has brought a whole request before
 	Begun  bool          // a request has begun to come and is not whole
 	Opened time.Duration // when it came
@@ -68,8 +69,10 @@
 	takeWithin = 5 * time.Second
 	// silentWithin is for one that never said anything while there is none: a client sends as it connects.
 	silentWithin = 300 * time.Millisecond
-	keepRoom     = 0.6  // part of the places taken from which on a connection ends with its answer
-	littleRoom   = 0.75 // part of the places taken from which on there is little room
+	// lingerShort is for one that is being closed while there is no room: by then its client has read its answer.
+	lingerShort = 100 * time.Millisecond
+	keepRoom    = 0.6  // part of the places taken from which on a connection ends with its answer
+	littleRoom  = 0.75 // part of the places taken from which on there is little room
 )
 
 // Verdict says what becomes of a connection.
@@ -86,7 +89,7 @@
 func Judge(now time.Duration, c Conn, taken, places int) Verdict {
 	age := now - c.Since
 	switch {
-	case c.Open:
+	case c.Open || c.Ending:
 		return Stay
 	case c.Taking && age >= takeWithin:
 		return Leave
@@ -113,11 +116,13 @@
 func Keep(taken, places int) bool { return float64(taken) < keepRoom*float64(places) }
 
 // Rank orders connections where none of the above makes room and one more client is at the door: the
-// highest goes first. Those whose request is open have none. Those that came and said nothing go before
-// those that are half through a first request, and these before those between requests.
+// highest goes first. Those whose request is open have none. Those that are being closed go before those that came
+// and said nothing, these before those between requests, and these before those half through a first request.
 func Rank(now time.Duration, c Conn) (rank float64, may bool) {
 	age := min(0.99, max(0, (now-c.Since).Seconds()/60))
 	switch {
+	case c.Ending:
+		return 4 + age, now-c.Since >= lingerShort
 	case c.Open || c.Taking || c.Begun && c.Asked:
 		return 0, false
 	case c.Asked && now-c.Since < shortWithin/8, !c.Asked && now-c.Opened < silentWithin:
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -28,7 +28,10 @@
 	// not, each ends with its answer, and idle ones at once.
 	Serve  bool
 	Within time.Duration // a request taken now must be answered by then, from the signal on; 0: by its own time
-	Over   bool          // the process ends, whatever is open
+	// Shut: all that was taken has its answer. What is half read is refused, and nothing that comes now is read:
+	// it would be open when the process ends.
+	Shut bool
+	Over bool // the process ends, whatever is open
 }
 
 // Plan is the division for one host.
@@ -42,7 +45,7 @@
 // At is the phase so long after the signal.
 func (p Plan) At(t time.Duration) Phase {
 	by := p.kill - killMargin
-	ph := Phase{Accept: t < newFor+acceptMargin, Serve: t < by-leastTime, Over: t >= by+killMargin/2}
+	ph := Phase{Accept: t < newFor+acceptMargin, Serve: t < by-leastTime, Shut: t >= by, Over: t >= by+killMargin/2}
 	if t >= wholeFor-killMargin { // before, its own time ends by then
 		ph.Within = by
 	}
