--- a/control/control.go
+++ b/control/control.go
@@ -790,8 +790,8 @@
 	return coldMargin * c.warmth(n) * max(bears, c.set.FallMultiple*had/coldLoad)
 }
 
-// coldWait is how long a cold node is to be left alone: until the credit that fills at this host's rate is not
-// negative. It stores what coldMargin leaves of a span, which counts all. Each request takes its units; a
+// coldWait is how long a cold node is to be left alone: until the credit that fills at this host's rate is
+// not negative. It stores what coldMargin leaves of a span, which counts all. Each request takes its units; a
 // host's part may be far less than one, so it starts below 0 by a random part of one.
 func (c *Controller) coldWait(n *node) time.Duration {
 	if !c.cold(n) || c.set.FallSpan == 0 {
