Settings that cannot be meant are refused with their field; a dial has a bound where none is told

Read for other customers' settings: two classes or plans of one name, unnamed classes, unknown discovery, counts below 0 were taken as they came; a time over what a clock holds overflowed; without dial_timeout_ms a connection that never came up held its place for as long as the kernel tried. Now wire.setup.check names the field, duration is clamped, dials end after 1 s (TestSettings).

--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -32,15 +32,16 @@
 const (
 	waitingMost = 1024                   // attempts that wait for a connection, a node
 	lookEvery   = 250 * time.Millisecond // for idle connections
+	dialMost    = time.Second            // where no time is told: a connection that never comes up frees its place
 )
 
 // Settings bound what the backend opens.
 type Settings struct {
 	Conns       int           // connections at a time, all nodes
 	Idle        time.Duration // nodes close connections that have idled for so long
-	DialTimeout time.Duration
-	Service     string   // the Host field of requests
-	LoadFields  []string // names of the values of a load report, in the order in which the host takes them
+	DialTimeout time.Duration // 0: dialMost
+	Service     string        // the Host field of requests
+	LoadFields  []string      // names of the values of a load report, in the order in which the host takes them
 }
 
 // Backend is the set of connections.
@@ -87,6 +88,9 @@
 
 // New makes a backend on a loop.
 func New(set Settings, l *loop.Loop, log *slog.Logger) *Backend {
+	if set.DialTimeout <= 0 {
+		set.DialTimeout = dialMost
+	}
 	b := &Backend{set: set, loop: l, log: log, began: time.Now(), nodes: map[string]*node{}, tries: map[uint64]*try{},
 		pool: connpool.New[*conn](connpool.Settings{Total: set.Conns, Idle: set.Idle})}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
--- a/internal/wire/setup.go
+++ b/internal/wire/setup.go
@@ -101,6 +101,33 @@
 	return c, nil
 }
 
+// check names the first field that cannot be meant. Figures are the controller's to check.
+func (s *setup) check() error {
+	if s.Discovery != "" && s.Discovery != "pushed" && s.Discovery != "on_request" {
+		return fmt.Errorf("discovery: %q: expected pushed or on_request", s.Discovery)
+	}
+	for name, n := range map[string]int{"balancers": s.Balancers, "family_info.slots_total": s.FamilyInfo.SlotsTotal,
+		"limits.max_attempts": s.Limits.MaxAttempts} {
+		if n < 0 {
+			return fmt.Errorf("%s: %d: expected 0 (not told) or more", name, n)
+		}
+	}
+	classes, plans := map[string]bool{}, map[string]bool{}
+	for i, c := range s.Classes {
+		if c.Name == "" || classes[c.Name] {
+			return fmt.Errorf("classes[%d].name: %q: expected one that no other class has", i, c.Name)
+		}
+		classes[c.Name] = true
+	}
+	for i, p := range s.Policies {
+		if plans[p.Name] {
+			return fmt.Errorf("policies[%d].name: %q: expected one that no other has", i, p.Name)
+		}
+		plans[p.Name] = true
+	}
+	return nil
+}
+
 // Settings translates the settings of a start message. Whether they make sense
 // is for the controller's constructor to say.
 func Settings(text []byte) (control.Settings, error) {
@@ -108,6 +135,9 @@
 	if err := json.Unmarshal(text, &s); err != nil {
 		return control.Settings{}, fmt.Errorf("settings: %w", err)
 	}
+	if err := s.check(); err != nil {
+		return control.Settings{}, fmt.Errorf("settings: %w", err)
+	}
 	set := control.Settings{
 		Hosts:     s.Balancers,
 		MeanUnits: s.FamilyInfo.UnitMean, MostUnits: s.FamilyInfo.MostUnits,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -278,7 +278,8 @@
 
 // duration rounds milliseconds to the bench's microseconds.
 func duration(ms float64) time.Duration {
-	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+	const most = 1e12 // some 30 years: what is more, or less than none, is as good as it
+	return time.Duration(math.Round(max(-most, min(most, ms))*1000)) * time.Microsecond
 }
 
 func (f *fields) row() []float64 {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -137,10 +137,24 @@
 	if !reflect.DeepEqual(set, want) {
 		t.Errorf("got %+v\nwant %+v", set, want)
 	}
-	for _, bad := range []string{`{"classes":[{"effect":"odd"}]}`, `{"classes":[{"effect":"dedup",
-		"dedup_scope":"odd"}]}`, `[]`} {
-		if _, err := Settings([]byte(bad)); err == nil {
-			t.Errorf("%s: no error", bad)
+	for bad, field := range map[string]string{
+		`{"classes":[{"name":"a","effect":"odd"}]}`:                                              "classes[0].effect",
+		`{"classes":[{"name":"a","effect":"dedup","dedup_scope":"odd"}]}`:                        "classes[0].dedup_scope",
+		`{"classes":[{"effect":"retryable"}]}`:                                                   "classes[0].name",
+		`{"classes":[{"name":"a","effect":"retryable"},{"name":"a","effect":"fragile"}]}`:        "classes[1].name",
+		`{"classes":[{"name":"a","effect":"retryable"}],"policies":[{"name":"p"},{"name":"p"}]}`: "policies[1].name",
+		`{"classes":[{"name":"a","effect":"retryable"}],"discovery":"rumour"}`:                   "discovery",
+		`{"classes":[{"name":"a","effect":"retryable"}],"limits":{"max_attempts":-1}}`:           "limits.max_attempts",
+		`{"classes":[{"name":"a","effect":"retryable"}],"balancers":-1}`:                         "balancers",
+		`{"classes":[{"name":"a","effect":"retryable"}],"family_info":{"slots_total":-8}}`:       "family_info.slots_total",
+		`[]`: "settings",
+	} {
+		if _, err := Settings([]byte(bad)); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v, expected an error that names %s", bad, err, field)
 		}
 	}
+	far, err := Settings([]byte(`{"classes":[{"name":"a","effect":"retryable","deadline_ms":1e300}]}`))
+	if err != nil || far.Classes[0].Deadline <= time.Hour {
+		t.Errorf("a deadline beyond what a clock holds is read as %v: %v", far.Classes[0].Deadline, err)
+	}
 }
