--- a/cmd/eiderhold/live_test.go
+++ b/cmd/eiderhold/live_test.go
@@ -1,13 +1,15 @@
 package main
 
 import (
-	"bytes"
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -15,57 +17,148 @@
 	"eiderhold/internal/standin"
 )
 
-// TestLiveProcess starts the program as the platform does, without a writable folder, sends it SIGHUP from
-// its first moment on, and ends it with SIGTERM: status 0.
-func TestLiveProcess(t *testing.T) {
-	agent, err := standin.NewAgent("")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer agent.Close()
+// liveProcess starts the program as the platform does, without a writable folder and with so many descriptors.
+func liveProcess(t *testing.T, agent *standin.Agent, sockets int, known string) (cmd *exec.Cmd, addr string, log *standin.Log) {
+	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := free.Addr().String()
+	addr = free.Addr().String()
 	free.Close()
 	file := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"01","limits":{"cores":0.5,"memory_mb":32,"sockets":256},
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"01","limits":{"cores":0.5,"memory_mb":32,"sockets":%d},
  "known":%s,"settings":{"balancers":1,"classes":[{"name":"read","effect":"retryable","slo_ms":100,"deadline_ms":1000,"credit":1}],
  "policies":[{"name":"gold","nominal":5,"shares":1}],"limits":{"conn_idle_ms":30000,"dial_timeout_ms":250}}}`,
-		addr, agent.Addr(), standin.List(1, true, standin.Target("s-1", "127.0.0.1:9", 0, "active", 0)))
+		addr, agent.Addr(), sockets, known)
 	if err := os.WriteFile(file, []byte(text), 0o444); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0], "live")
+	cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" live`, sockets), os.Args[0])
 	cmd.Env = append(os.Environ(), asProgram+"=1", "BALANCER_CONFIG="+file)
 	cmd.Dir = "/"
-	var log bytes.Buffer
-	cmd.Stderr = &log
+	log = &standin.Log{}
+	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	agent.Next() // it runs
-	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
-		t.Fatal(err)
-	}
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	return cmd, addr, log
+}
+
+// ready waits until the host says that it is.
+func ready(addr string) {
 	for {
 		resp, err := http.Get("http://" + addr + "/_health")
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				break
+				http.DefaultClient.CloseIdleConnections()
+				return
 			}
 		}
 		time.Sleep(time.Millisecond)
 	}
+}
+
+func newAgent(t *testing.T, addr string) *standin.Agent {
+	t.Helper()
+	a, err := standin.NewAgent(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Close)
+	return a
+}
+
+// TestLiveProcess starts the program, sends it SIGHUP from its first moment on, and ends it with SIGTERM: status 0.
+func TestLiveProcess(t *testing.T) {
+	agent := newAgent(t, "")
+	cmd, addr, log := liveProcess(t, agent, 256, standin.List(1, true, standin.Target("s-1", "127.0.0.1:9", 0, "active", 0)))
+	agent.Next() // it runs
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	ready(addr)
+	log.Has("configuration read again")
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestTermBeforeReady: SIGTERM before there is any list ends the host with status 0 all the same.
+func TestTermBeforeReady(t *testing.T) {
+	agent := newAgent(t, "")
+	cmd, _, log := liveProcess(t, agent, 256, standin.List(1, true))
+	agent.Next() // it runs, and asks for the whole list, which it does not get
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	log.Has("ending")
 	if err := cmd.Wait(); err != nil {
-		t.Fatalf("%v\n%s", err, log.String())
+		t.Fatal(err)
+	}
+}
+
+// TestDescriptors: idle clients, many more than the process has descriptors, fill it while discovery is down. The
+// list is reached as discovery is back, a node opened anew, and each request on a connection that was taken is answered.
+func TestDescriptors(t *testing.T) {
+	node, err := standin.NewHTTPNode(func(s standin.Seen) standin.Reply { return standin.Reply{Text: standin.Served("x")} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	agent := newAgent(t, "")
+	_, addr, log := liveProcess(t, agent, 96, standin.List(1, true, standin.Target("s-1", "127.0.0.1:9", 1, "active", 0)))
+	watch := agent.Next()
+	ready(addr)
+	var c net.Conn
+	var answers *bufio.Reader
+	ask := func(n int) int { // on the connection that stands, on another one where the last answer ended it
+		t.Helper()
+		if c == nil {
+			if c, err = net.Dial("tcp", addr); err != nil {
+				t.Fatal(err)
+			}
+			answers = bufio.NewReader(c)
+		}
+		fmt.Fprintf(c, "GET /api/%016x/%016x HTTP/1.1\r\nHost: o\r\nRequest-Id: %016x\r\nRequest-Class: read\r\nX-Storage-Class: gold\r\n"+
+			"Request-Timeout-Ms: 1000\r\nX-Extent: units=1,shard=0,hosts=1\r\n\r\n", n, n, n)
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if resp.Close {
+			_ = c.Close()
+			c = nil
+		}
+		return resp.StatusCode
+	}
+	if s := ask(0); s != 503 { // no node has its shard yet
+		t.Fatalf("%d", s)
+	}
+	agent.Close()
+	watch.Conn.Close()
+	log.Has("discovery: a connection ended")
+	for range 300 {
+		idle, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer idle.Close()
+	}
+	for i := range 20 { // at the ceiling
+		ask(i)
+	}
+	newAgent(t, agent.Addr()).Next().Line(standin.List(2, false, standin.Target("s-2", node.Addr(), 0, "active", 0)))
+	for n := 100; ask(n) != 200; n++ {
 	}
-	if !bytes.Contains(log.Bytes(), []byte("configuration read again")) {
-		t.Errorf("no word of SIGHUP:\n%s", log.String())
+	if text := log.Text(); strings.Contains(text, "too many open files") {
+		t.Fatalf("descriptors ran out:\n%s", text)
 	}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -87,25 +87,24 @@
 	for _, e := range events {
 		switch e := e.(type) {
 		case Request:
-			if r := c.take(e); r != nil {
-				arrivals = append(arrivals, r)
-			}
+			arrivals = append(arrivals, c.take(e))
 		case Outcome:
-			if r := c.outcome(e); r != nil {
-				again = append(again, r)
-			}
+			again = append(again, c.outcome(e))
 		case ClientGone:
 			if r := c.reqs[e.ID]; r != nil {
 				c.end(r)
+				for i, a := range r.attempts { // work for who has gone stands before that for those who wait
+					if a.open && c.set.Cancelling {
+						c.act(Cancel{r.ID, i})
+					}
+				}
 			}
 		case AnswerStarted:
 			if r := c.reqs[e.ID]; r != nil {
 				r.started = true
 			}
 		case TimerFired:
-			if e.Token == c.token {
-				c.timerSet = false
-			}
+			c.timerSet = c.timerSet && e.Token != c.token
 		case NodeList:
 			again = append(again, c.list(e)...)
 		case Shares:
@@ -113,7 +112,7 @@
 		}
 	}
 	for _, r := range append(again, arrivals...) {
-		if !r.over {
+		if r != nil && !r.over {
 			c.place(r)
 		}
 	}
@@ -140,7 +139,7 @@
 	return 0
 }
 
-// take books a new request.
+// take books a new request; nil if there is nothing to place.
 func (c *Controller) take(e Request) *request {
 	cl := c.classes[e.Class]
 	if cl == nil {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -310,6 +310,50 @@
 	}
 }
 
+// TestClientGone: what is held for a client that has gone does not leave any more; what is out is called off where
+// the settings allow it, and nothing is answered.
+func TestClientGone(t *testing.T) {
+	for _, cancelling := range []bool{true, false} {
+		set := settings()
+		set.Cancelling = cancelling
+		b := start(t, set, entry("n", 0))
+		var out, held []string
+		for i := range 40 {
+			id := fmt.Sprint("r", i)
+			if len(sends(b.step(0, of("write", id)))) > 0 {
+				out = append(out, id)
+			} else if b.c.reqs[id] != nil {
+				held = append(held, id)
+			}
+		}
+		if len(out) == 0 || len(held) == 0 {
+			t.Fatalf("%d out, %d held", len(out), len(held))
+		}
+		var gone []Event
+		for _, id := range append(out, held...) {
+			gone = append(gone, ClientGone{id})
+		}
+		called := 0
+		for _, a := range b.step(ms, gone...) {
+			c, ok := a.(Cancel)
+			if !ok || !slices.Contains(out, c.ID) || c.Attempt != 0 {
+				t.Fatalf("%+v", a)
+			}
+			called++
+		}
+		if want := map[bool]int{true: len(out)}[cancelling]; called != want {
+			t.Errorf("cancelling %v: %d called off of %d out", cancelling, called, len(out))
+		}
+		for _, id := range out {
+			b.step(0, Outcome{ID: id, Node: "n", Result: Cancelled, Closed: true})
+		}
+		b.pass(3 * time.Second)
+		if len(b.c.reqs) != 0 {
+			t.Errorf("%d requests are remembered", len(b.c.reqs))
+		}
+	}
+}
+
 // Rule 4: what all hosts together send to a cold node within any span of the stated
 // length, each as much as it may, stays within the budget that they have in common,
 // and is not nothing: for few hosts and for many, with and without work there before.
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -223,11 +223,14 @@
 	})
 }
 
-// logNodes writes a line for each node: believed, and passed.
+// logNodes writes a line for each node to which anything was sent: believed, and passed.
 func (l *Live) logNodes() {
 	l.Compare(func(believed []host.Believed, passed map[string]backend.Passed) {
 		for _, n := range believed {
 			p := passed[n.Node]
+			if p.Written+uint64(p.Waiting+p.Opening+n.Carried) == 0 { // nothing to set against each other
+				continue
+			}
 			l.log.Info("node", "uid", n.Node, "state", n.State, "cold", n.Cold, "suspect", n.Suspect,
 				slog.Group("believed", "out", n.Out, "held", n.Held, "carried", n.Carried, "window", n.Window, "round_trip", n.RoundTrip,
 					"backlog", n.Backlog, "unit", n.UnitTime, "errors", n.Errors),
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -254,6 +254,13 @@
 	return l.b.Write(p)
 }
 
+// Text is what the log holds.
+func (l *Log) Text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // Has waits until the log holds a text.
 func (l *Log) Has(text string) {
 	for {
