A repeat that waited for its connection past its window does not go

Read between the decision to send a keyed request again and its first byte: it may wait for a connection for dial_timeout_ms and more, and a shorter window for repeats (other settings) is over by then: its effect happens twice. Lines: control.send said nothing of the window, backend.serve handed it out. Now Send carries Latest, and both backends look at it with the other checks right before the first byte. Tests fail without it: TestRepeatBeginsWithinItsWindow, TestBarred.

--- a/control/api.go
+++ b/control/api.go
@@ -307,10 +307,12 @@
 // Action is one thing that the host is to do.
 type Action interface{ action() }
 
-// Send starts an attempt. Within is its time-out; 0: until the client gives up.
+// Send starts an attempt. Within is its time-out; 0: until the client gives up. Latest is the moment from which on
+// it must not begin any more: past it a repeat would have its effect again; 0: there is none.
 type Send struct {
 	ID, Node string
 	Within   time.Duration
+	Latest   time.Duration
 }
 
 // Refuse is a final answer: a retry is harmless, and welcome after RetryAfter.
--- a/control/control.go
+++ b/control/control.go
@@ -3,6 +3,7 @@
 // The decisions. The interface (settings, events, actions) is in api.go, the state in state.go.
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"math/rand"
@@ -55,9 +56,7 @@
 		unserved: map[tryKey]time.Duration{}, served: map[int]flow{},
 	}
 	c.set.Hosts = max(1, set.Hosts)
-	if c.set.MeanUnits == 0 {
-		c.set.MeanUnits = 1
-	}
+	c.set.MeanUnits = cmp.Or(set.MeanUnits, 1)
 	c.slot = 500 * time.Millisecond
 	for _, cl := range set.Classes {
 		c.classes[cl.Name] = &class{Class: cl}
@@ -632,7 +631,11 @@
 	}
 	r.attempts = append(r.attempts, a)
 	n.out, c.after = append(n.out, a), append(c.after, a)
-	c.act(Send{ID: r.ID, Node: n.ID})
+	s := Send{ID: r.ID, Node: n.ID}
+	if r.doubt != nil && r.class.Effect == Keyed { // it may wait for its connection
+		s.Latest = r.doubt.sentAt + r.class.Window
+	}
+	c.act(s)
 }
 
 // outcome books the end of an attempt and returns the request if it is still
@@ -845,9 +848,7 @@
 		if c.stood > 0 {
 			return // how long it took, this host cannot tell
 		}
-		if n.rtt == 0 {
-			n.rtt = float64(e.Elapsed)
-		}
+		n.rtt = cmp.Or(n.rtt, float64(e.Elapsed))
 		n.rtt += rttGain * (float64(e.Elapsed) - n.rtt)
 		if c.observe(n, a, e.Elapsed, e.Load) > aimForNode*float64(c.slot) {
 			c.halve(n, a)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -354,6 +354,31 @@
 	}
 }
 
+// TestRepeatBeginsWithinItsWindow: a keyed request that may have run is sent again with the moment from which on
+// the repeat would not be dropped; a first attempt, and a safe one, go whenever they can.
+func TestRepeatBeginsWithinItsWindow(t *testing.T) {
+	latest := func(actions []Action) time.Duration {
+		t.Helper()
+		for _, a := range actions {
+			if s, ok := a.(Send); ok {
+				return s.Latest
+			}
+		}
+		t.Fatalf("nothing is sent: %+v", actions)
+		return 0
+	}
+	for class, again := range map[string]time.Duration{"write": 500 * ms, "read": 0} {
+		b := start(t, settings(), entry("n", 0))
+		began := b.now
+		if l := latest(b.step(0, of(class, "a"))); l != 0 {
+			t.Errorf("%s: a first attempt must begin by %v", class, l)
+		}
+		if l := latest(b.step(20*ms, ended("a", "n", 0, Error))); again == 0 && l != 0 || again > 0 && l != began+again {
+			t.Errorf("%s: the repeat must begin by %v, sent at %v", class, l, began)
+		}
+	}
+}
+
 // Rule 4: what all hosts together send to a cold node within any span of the stated
 // length, each as much as it may, stays within the budget that they have in common,
 // and is not nothing: for few hosts and for many, with and without work there before.
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -221,8 +221,14 @@
 	return best
 }
 
-// hand writes the attempt's frame. From here on it may run.
+// hand writes the attempt's frame. From here on it may run. One that waited for its connection for too long does
+// not go: its effect would be repeated.
 func (b *Backend) hand(c *conn, t *try) {
+	if t.Begin > 0 && time.Since(t.sentAt) >= t.Begin {
+		delete(b.tries, t.Ref)
+		b.report(t, control.NotSent, "the window for repeats is over")
+		return
+	}
 	c.next++
 	t.id, t.conn = c.next, c
 	c.tries[t.id] = t
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -264,6 +264,8 @@
 		return "the node drains"
 	case t.left() < time.Millisecond:
 		return "the client's time is over"
+	case t.Begin > 0 && time.Since(t.at) >= t.Begin:
+		return "its effect would be repeated: the window for that is over"
 	}
 	return ""
 }
--- a/internal/backend/http/backend_test.go
+++ b/internal/backend/http/backend_test.go
@@ -316,19 +316,21 @@
 	for _, c := range []struct {
 		name   string
 		left   time.Duration
+		begin  time.Duration
 		change func(r *rig, ref uint64, req *host.Request, addrs [2]string)
 		atOnce bool // it ends without another connection
 	}{
-		{"its client has gone", time.Minute, func(_ *rig, _ uint64, req *host.Request, _ [2]string) { req.Abandon() }, false},
-		{"withdrawn", time.Minute, func(r *rig, ref uint64, _ *host.Request, _ [2]string) { r.Withdraw(ref) }, true},
-		{"its node drains", time.Minute, func(r *rig, _ uint64, _ *host.Request, addrs [2]string) {
+		{"its client has gone", time.Minute, 0, func(_ *rig, _ uint64, req *host.Request, _ [2]string) { req.Abandon() }, false},
+		{"withdrawn", time.Minute, 0, func(r *rig, ref uint64, _ *host.Request, _ [2]string) { r.Withdraw(ref) }, true},
+		{"its node drains", time.Minute, 0, func(r *rig, _ uint64, _ *host.Request, addrs [2]string) {
 			r.Nodes([]host.Node{{Addr: addrs[0], Node: control.Node{ID: "a"}},
 				{Addr: addrs[1], Node: control.Node{ID: "b", State: control.Draining}}})
 		}, true},
-		{"its node has left", time.Minute, func(r *rig, _ uint64, _ *host.Request, addrs [2]string) {
+		{"its node has left", time.Minute, 0, func(r *rig, _ uint64, _ *host.Request, addrs [2]string) {
 			r.Nodes([]host.Node{{Addr: addrs[0], Node: control.Node{ID: "a"}}})
 		}, true},
-		{"its time is over", time.Nanosecond, func(*rig, uint64, *host.Request, [2]string) {}, true},
+		{"its window for a repeat is over", time.Minute, time.Nanosecond, func(*rig, uint64, *host.Request, [2]string) {}, true},
+		{"its time is over", time.Nanosecond, 0, func(*rig, uint64, *host.Request, [2]string) {}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			release := make(chan bool)
@@ -340,8 +342,8 @@
 			req := &host.Request{Message: &http1.Message{Method: "GET", Target: "/api/v/i", ID: "00000000000000ff"}}
 			r.next++
 			ref := r.next
-			r.Send(host.Attempt{Ref: ref, Node: "b", Left: c.left, Request: req}) // all places are taken
-			r.counts()                                                            // it waits
+			r.Send(host.Attempt{Ref: ref, Node: "b", Left: c.left, Begin: c.begin, Request: req}) // all places are taken
+			r.counts()                                                                            // it waits
 			c.change(r, ref, req, [2]string{slow.Addr(), other.Addr()})
 			if c.atOnce {
 				if o := <-r.out; o.Ref != ref || o.Result != control.NotSent {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -112,6 +112,7 @@
 	Number  int    // 0, 1, ...
 	Node    string
 	Left    time.Duration // the client's time left
+	Begin   time.Duration // it must begin within it, from now; 0: within Left
 	Request *Request
 }
 
@@ -714,8 +715,9 @@
 	if s.Within != 0 {
 		until = min(until, h.now+s.Within)
 	}
+	begin := max(0, s.Latest-h.now)
 	_, known := h.nodes[s.Node]
-	if r.over || until <= h.now || !known {
+	if r.over || until <= h.now || !known || s.Latest != 0 && begin == 0 {
 		h.later(func() {
 			if h.out[a.ref] != nil {
 				h.close(a, control.Outcome{Result: control.NotSent}, false)
@@ -732,7 +734,7 @@
 		h.stats.Decide.record(h.clock() - r.taken)
 	}
 	h.opt.Backend.Send(Attempt{Ref: a.ref, ID: r.id, Number: a.number, Node: s.Node,
-		Left: r.deadline - h.now, Request: r.Request})
+		Left: r.deadline - h.now, Begin: begin, Request: r.Request})
 }
 
 // tierOf is 0 for a shard of the first tier, 1 for one of a later, 2 for any other.
