Requests in chunks are read, and an answer without a length is whole when its connection ends

Ruled out: half heads, case and white space of fields, which are read. Now chunked bodies are read as they come, within 64 KiB; empty lines before a request are skipped, Expect: 100-continue gets its 100; an answer without a length lasts until the connection's end, which only a read of no bytes shows: a reset, or an end that the poller tells of, is none (outcome.Ends).

--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -447,10 +447,7 @@
 	case !done:
 		return gnet.None
 	default:
-		c.b.stats.Answers++
-		o := c.answer.outcome(c.b.set.LoadFields)
-		c.node.passed.answered(c.b.now()-c.wrote, o.Load)
-		c.over(o)
+		c.over(c.answered())
 		if outcome.Reusable(c.answer.head.Close, c.answer.behind, g.OutboundBuffered()) && c.addr == c.node.addr && c.node.listed && !c.b.ended {
 			c.rest()
 			return gnet.None
@@ -460,6 +457,14 @@
 	return gnet.Close
 }
 
+// answered books a whole answer, and is what it proves.
+func (c *conn) answered() host.Outcome {
+	c.b.stats.Answers++
+	o := c.answer.outcome(c.b.set.LoadFields)
+	c.node.passed.answered(c.b.now()-c.wrote, o.Load)
+	return o
+}
+
 // answered books an answer.
 func (p *Passed) answered(took time.Duration, load []float64) {
 	p.Answered++
@@ -507,6 +512,9 @@
 			b.pool.Lost(c.node.id, c)
 		}
 	}
+	if t := c.try; t != nil && !b.ended && c.answer.toEnd && outcome.Ends(err) {
+		c.over(c.answered())
+	}
 	if t := c.try; t != nil && !b.ended {
 		c.try = nil
 		text := "connection closed"
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -221,7 +221,7 @@
 // instead.
 func (c *conn) evict() {
 	switch {
-	case c.out || !c.asked && len(c.in) == 0 && !loop.Unread(c.g): // it was never answered: nothing to be lost
+	case c.out || !c.asked && !c.known().Begun && !loop.Unread(c.g): // it was never answered: nothing to be lost
 		c.f.opt.Loop.Close(c.g)
 	case loop.Unread(c.g):
 		return
@@ -258,7 +258,7 @@
 // not, goes on until its answer.
 func (f *Front) closeIdle() {
 	for c := range f.conns {
-		if c.req == nil && len(c.in) == 0 && !c.out && !c.ending && !loop.Unread(c.g) {
+		if c.req == nil && !c.known().Begun && !c.out && !c.ending && !loop.Unread(c.g) {
 			c.finish()
 		}
 	}
@@ -280,7 +280,7 @@
 		for c := range f.conns {
 			switch {
 			case c.ending || c.req != nil:
-			case len(c.in) > 0 && !c.out:
+			case c.known().Begun && !c.out:
 				c.refuse(503, "the host ends")
 			default:
 				c.finish()
@@ -317,6 +317,8 @@
 	pending *host.Request // read from it; nil: it asks for health
 	headLen int
 	want    int           // bytes of head and body
+	chunks  *http1.Chunks // of the body, where its length is not stated: what it has is taken out of in
+	data    []byte        // read from chunks
 	req     *host.Request // open
 	id      uint64        // of req, at the host
 	body    int           // bytes of req's body, held until its answer
@@ -331,7 +333,7 @@
 }
 
 func (c *conn) known() limits.Conn {
-	return limits.Conn{Open: c.req != nil, Taking: c.out, Ending: c.ending, Asked: c.asked, Begun: len(c.in) > 0,
+	return limits.Conn{Open: c.req != nil, Taking: c.out, Ending: c.ending, Asked: c.asked, Begun: len(c.in) > 0 || c.chunks != nil,
 		Opened: c.opened, Since: c.since}
 }
 
@@ -365,11 +367,11 @@
 	for f.held+int64(n) > f.opt.Bytes {
 		var most *conn
 		for o := range f.conns {
-			if o != c && o.req == nil && !o.out && !o.ending && (most == nil || len(o.in) > len(most.in)) {
+			if o != c && o.req == nil && !o.out && !o.ending && (most == nil || o.holds() > most.holds()) {
 				most = o
 			}
 		}
-		if most == nil || !limits.Yields(len(most.in), len(c.in)+n) {
+		if most == nil || !limits.Yields(most.holds(), c.holds()+n) {
 			return false
 		}
 		most.refuse(503, "more bytes of requests held than allowed")
@@ -377,10 +379,13 @@
 	return true
 }
 
+// holds is how many bytes are held of a request that is not whole.
+func (c *conn) holds() int { return len(c.in) + len(c.data) }
+
 // drop throws away what a connection holds unread.
 func (f *Front) drop(c *conn) {
-	f.held -= int64(len(c.in))
-	c.in = nil
+	f.held -= int64(c.holds())
+	c.in, c.data, c.chunks = nil, nil, nil
 }
 
 // over books that the request that was open is so no longer.
@@ -424,6 +429,13 @@
 func (c *conn) next() {
 	for c.req == nil && !c.out && !c.ending && !c.gone && len(c.in) > 0 {
 		if !c.headed {
+			if n := http1.EmptyLines(c.in); n > 0 {
+				c.f.held -= int64(n)
+				c.looked = 0
+				if c.in = c.in[:copy(c.in, c.in[n:])]; len(c.in) == 0 {
+					return
+				}
+			}
 			h, n, err := http1.ParseRequest(c.in, c.looked)
 			if err == http1.ErrShort {
 				c.looked = len(c.in)
@@ -437,50 +449,79 @@
 				return
 			}
 		}
-		if len(c.in) < c.want {
+		if c.chunks != nil {
+			done, err := c.unchunk()
+			if err != nil {
+				c.refuse(statusOf(err), err.Error())
+				return
+			}
+			if !done {
+				return
+			}
+		} else if len(c.in) < c.want {
 			return
 		}
 		c.whole()
 	}
 }
 
+// unchunk moves what has come of a chunked body from in to data; done: it is whole, and in is what follows.
+func (c *conn) unchunk() (done bool, err error) {
+	before := len(c.in) + len(c.data)
+	data, rest, done, err := c.chunks.Feed(c.data, c.in)
+	c.data, c.in = data, c.in[:copy(c.in, rest)]
+	c.f.held += int64(len(c.in) + len(c.data) - before)
+	return done, err
+}
+
 // begin takes a head.
 func (c *conn) begin(h *http1.Request, n int) error {
-	if h.Body.Chunked {
-		return wrong(411, "a body without Content-Length")
-	}
 	if h.Body.Length > http1.MaxBody {
 		return wrong(413, "a body of %d bytes: %d at most", h.Body.Length, http1.MaxBody)
 	}
 	c.close = h.Close
-	c.headLen, c.want = n, n+int(h.Body.Length)
 	c.headed = true
-	if health(h) {
-		if string(h.Method) != "GET" {
-			return wrong(405, "method of /_health: expected GET")
+	switch {
+	case !health(h):
+		r, err := c.f.rules.read(h)
+		if err != nil {
+			return err
 		}
-		return nil
+		c.pending = r
+	case string(h.Method) != "GET":
+		return wrong(405, "method of /_health: expected GET")
+	}
+	expects := h.Minor > 0 && http1.Continue(h.Header) && len(c.in) == n
+	if h.Body.Chunked {
+		c.chunks = &http1.Chunks{Max: http1.MaxBody}
+		c.f.held -= int64(n)
+		c.in = c.in[:copy(c.in, c.in[n:])]
+	} else {
+		c.headLen, c.want = n, n+int(h.Body.Length)
+		expects = expects && h.Body.Length > 0
 	}
-	r, err := c.f.rules.read(h)
-	if err != nil {
-		return err
+	if expects { // its client waits for this word before it sends the body: RFC 9110, 10.1.1
+		_, _ = c.g.Write(http1.AppendEnd(http1.AppendStatus(nil, 100)))
 	}
-	c.pending = r
 	return nil
 }
 
 // whole hands a request that has come whole to the host.
 func (c *conn) whole() {
-	f, r := c.f, c.pending
-	if r != nil && c.want > c.headLen {
-		r.Message.Body = append([]byte(nil), c.in[c.headLen:c.want]...)
-	}
-	rest := len(c.in) - c.want
-	c.in = c.in[:copy(c.in, c.in[c.want:])]
-	f.held -= int64(c.want)
-	if rest == 0 {
+	f, r, body := c.f, c.pending, c.data
+	if c.chunks == nil {
+		body = append([]byte(nil), c.in[c.headLen:c.want]...)
+		c.in = c.in[:copy(c.in, c.in[c.want:])]
+		f.held -= int64(c.want)
+	}
+	f.held -= int64(len(c.data))
+	c.chunks, c.data = nil, nil
+	if len(c.in) == 0 {
 		c.in = nil
 	}
+	if r != nil && len(body) > 0 {
+		r.Message.Body = body
+	}
 	c.headed, c.pending, c.looked, c.asked = false, nil, 0, true
 	if r == nil {
 		status := 503
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -110,6 +110,21 @@
 
 var crlf2 = []byte("\r\n\r\n")
 
+// EmptyLines is how many bytes of empty lines b begins with; a request may come after some: RFC 9112, 2.2. The
+// first half of one, alone, does not count.
+func EmptyLines(b []byte) (n int) {
+	for bytes.HasPrefix(b[n:], crlf2[:2]) {
+		n += 2
+	}
+	return n
+}
+
+// Continue says that a client waits for a 100 before it sends the body.
+func Continue(h Header) bool {
+	v, times := h.Get("Expect")
+	return times == 1 && equalFold(v, "100-continue")
+}
+
 // HeadEnd finds the end of a head; from is how far an earlier call has looked. It is -1 as long as the
 // empty line has not come.
 func HeadEnd(b []byte, from int) int {
@@ -200,6 +215,9 @@
 // early says of a head that is not whole whether it can become one: what begins with a byte that no
 // message begins with, or has an end of line of its own, is turned away before anyone waits for its end.
 func early(b []byte) error {
+	if string(b) == "\r" { // half an empty line
+		return ErrShort
+	}
 	if len(b) > 0 && !tchar(b[0]) {
 		return bad(400, "a message that begins with %q", clip(b[:1]))
 	}
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -3,7 +3,7 @@
 import "strconv"
 
 // reasons are the phrases of the statuses that this host sends.
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
 	408: "Request Timeout", 409: "Conflict", 411: "Length Required", 413: "Content Too Large",
 	429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
 	501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -1,10 +1,16 @@
 // Package outcome decides what the end of an attempt over HTTP proves: whether the node ran it, may have, or
-// never did (the platform's PROTOCOL, "Hosts to nodes"). It does no I/O. internal/backend/http asks it.
-// What is not proved to have never run is taken as if it may have: a request that is sent again, or refused,
-// on a wrong proof has its effect twice.
+// never did (the platform's PROTOCOL, "Hosts to nodes"). It does no I/O. internal/backend/http asks
+// it. What is not proved to have never run is taken as if it may have: a request that is sent again, or refused, on a
+// wrong proof has its effect twice.
 package outcome
 
-import "eiderhold/control"
+import (
+	"errors"
+	"io"
+	"os"
+
+	"eiderhold/control"
+)
 
 // Progress is how far a request has come towards the node.
 type Progress int
@@ -24,6 +30,13 @@
 	return control.Reset
 }
 
+// Ends says that a connection's end is the end of an answer on it that has no length: the other side has ended its
+// sending, which a read of no bytes shows. A reset is no end, nor is whatever else closes a connection.
+func Ends(err error) bool {
+	var read *os.SyscallError
+	return errors.As(err, &read) && read.Syscall == "read" && read.Err == io.EOF
+}
+
 // OfAnswer is what a whole answer proves. notStarted says that it carries Not-Started: 1, once.
 func OfAnswer(status int, notStarted bool) control.Result {
 	switch {
--- a/outcome/outcome_test.go
+++ b/outcome/outcome_test.go
@@ -1,6 +1,9 @@
 package outcome
 
 import (
+	"io"
+	"os"
+	"syscall"
 	"testing"
 
 	"eiderhold/control"
@@ -32,3 +35,18 @@
 		t.Error("a connection is used again that may not be")
 	}
 }
+
+// TestEnds: only a read of no bytes ends an answer without a length.
+func TestEnds(t *testing.T) {
+	for err, want := range map[error]bool{
+		os.NewSyscallError("read", io.EOF):             true,
+		os.NewSyscallError("read", syscall.ECONNRESET): false,
+		os.NewSyscallError("write", syscall.EPIPE):     false,
+		io.EOF: false, // the poller's word for any end that it did not read
+		nil:    false,
+	} {
+		if got := Ends(err); got != want {
+			t.Errorf("%v: %v, expected %v", err, got, want)
+		}
+	}
+}
