Long requests and answers are taken, up to 1 MiB, within a budget for what all nodes send

Now a body may have 1 MiB. Memory stays bounded: requests by limits.Bytes as before, answers by limits.Answers (12%), where the largest that is not whole is given up; what an answer says it will have is not allotted before it comes.

--- a/internal/backend/http/answer.go
+++ b/internal/backend/http/answer.go
@@ -13,7 +13,10 @@
 	"eiderhold/outcome"
 )
 
-const interimMost = 8 // 1xx answers in front of one
+const (
+	interimMost = 8        // 1xx answers in front of one
+	bodyUsual   = 64 << 10 // bytes of a body
+)
 
 // answer reads one answer. What is over a bound of http1 is an error. One without a length, and not in chunks,
 // ends where the connection does (RFC 9112, 6.3, rule 8): whether it is whole its end says.
@@ -32,6 +35,9 @@
 	behind  int // bytes that came behind it
 }
 
+// holds is how many bytes are held of it.
+func (a *answer) holds() int { return len(a.in) + len(a.body) }
+
 // feed takes bytes; done says that the answer is whole.
 func (a *answer) feed(p []byte) (done bool, err error) {
 	if !a.headed {
@@ -104,7 +110,7 @@
 	case h.Body.Length > http1.MaxBody:
 		return fmt.Errorf("a body of %d bytes: expected %d at most", h.Body.Length, http1.MaxBody)
 	default:
-		a.body = make([]byte, 0, h.Body.Length)
+		a.body = make([]byte, 0, min(h.Body.Length, bodyUsual)) // what is said to come is not held yet
 	}
 	return nil
 }
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -38,6 +38,7 @@
 // Settings bound what the backend opens.
 type Settings struct {
 	Conns       int           // connections at a time, all nodes
+	Bytes       int64         // held of answers that are not whole, all nodes
 	Idle        time.Duration // nodes close connections that have idled for so long
 	DialTimeout time.Duration // 0: dialMost
 	Service     string        // the Host field of requests
@@ -59,6 +60,7 @@
 	nodes map[string]*node
 	tries map[uint64]*try
 	stats Stats
+	held  int64 // bytes of answers that are not whole
 	ended bool
 }
 
@@ -376,6 +378,7 @@
 	progress outcome.Progress
 	wrote    time.Duration
 	answer   answer
+	held     int // bytes of answer, in the backend's books
 }
 
 // Opened makes it available.
@@ -439,12 +442,12 @@
 		return gnet.Close
 	}
 	done, err := c.answer.feed(p)
+	c.hold(c.answer.holds())
 	switch {
 	case err != nil:
-		c.b.stats.Spoilt++
-		c.node.passed.Spoilt++
-		c.over(host.Outcome{Result: outcome.OfSpoilt(), Text: "spoilt answer: " + err.Error()})
+		c.spoilt(err)
 	case !done:
+		c.b.makeRoom()
 		return gnet.None
 	default:
 		c.over(c.answered())
@@ -457,6 +460,38 @@
 	return gnet.Close
 }
 
+// hold books how many bytes of an answer are held.
+func (c *conn) hold(n int) {
+	c.b.held += int64(n - c.held)
+	c.held = n
+}
+
+// spoilt ends the attempt that is out: its answer cannot be read.
+func (c *conn) spoilt(err error) {
+	c.b.stats.Spoilt++
+	c.node.passed.Spoilt++
+	c.over(host.Outcome{Result: outcome.OfSpoilt(), Text: "spoilt answer: " + err.Error()})
+}
+
+// makeRoom gives up the answers of which most is held while more is held than allowed. Guards against answers that
+// keep coming, on many connections at once.
+func (b *Backend) makeRoom() {
+	for b.held > b.set.Bytes {
+		var most *conn
+		for _, t := range b.tries {
+			if t.conn != nil && (most == nil || t.conn.held > most.held) {
+				most = t.conn
+			}
+		}
+		if most == nil {
+			return
+		}
+		most.spoilt(fmt.Errorf("over %d bytes of answers that are not whole", b.set.Bytes))
+		most.cut()
+		b.loop.Close(most.g)
+	}
+}
+
 // answered books a whole answer, and is what it proves.
 func (c *conn) answered() host.Outcome {
 	c.b.stats.Answers++
@@ -481,6 +516,7 @@
 func (c *conn) over(o host.Outcome) {
 	t := c.try
 	c.try = nil
+	c.hold(0)
 	c.b.report(t, o)
 }
 
@@ -504,6 +540,7 @@
 // Closed reports what was out, and books the end of the connection.
 func (c *conn) Closed(g gnet.Conn, err error) {
 	c.gone = true
+	c.hold(0)
 	b := c.b
 	if c.pooled {
 		if c.busy {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -14,12 +14,12 @@
 
 // The bounds.
 const (
-	MaxHead    = 8 << 10  // bytes of a head, its empty line included
-	MaxBody    = 64 << 10 // bytes of a body on the platform
-	MaxFields  = 64       // header fields of a head
-	maxDigits  = 18       // of a length: more cannot be meant
-	maxChunk   = 256      // bytes of a chunk's line
-	maxTrailer = 2 << 10  // bytes of a trailer section
+	MaxHead    = 8 << 10 // bytes of a head, its empty line included
+	MaxBody    = 1 << 20 // bytes of a body: 64 KiB by the platform's page, and on some days more
+	MaxFields  = 64      // header fields of a head
+	maxDigits  = 18      // of a length: more cannot be meant
+	maxChunk   = 256     // bytes of a chunk's line
+	maxTrailer = 2 << 10 // bytes of a trailer section
 )
 
 // ErrShort says that more bytes are needed.
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -71,7 +71,7 @@
 	if l.loop, err = loop.Start(log); err != nil {
 		return nil, err
 	}
-	l.back = backend.New(backend.Settings{Conns: split.Nodes, Idle: cfg.conns.Idle, DialTimeout: cfg.conns.DialTimeout,
+	l.back = backend.New(backend.Settings{Conns: split.Nodes, Bytes: split.Answers, Idle: cfg.conns.Idle, DialTimeout: cfg.conns.DialTimeout,
 		Service: service, LoadFields: cfg.control.LoadFields}, l.loop, log)
 	l.host, err = host.New(host.Options{Settings: cfg.control, Seed: int64(cfg.seed), Backend: l.back, Log: log,
 		MostOpen: split.Requests})
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -12,7 +12,7 @@
 	clientsPart = 0.58 // of the descriptors that are left
 	nodesPart   = 0.34 // the rest is for sockets that are handed from one owner to another
 	heapPart    = 0.55 // of the memory: the collector works the harder the nearer it comes to it
-	bytesPart   = 0.12 // of the memory: bytes of requests held
+	bytesPart   = 0.12 // of the memory: bytes of requests held, and as much of answers that are not whole
 	requestSize = 8 << 10
 )
 
@@ -22,6 +22,7 @@
 	Nodes    int   // connections to nodes
 	Heap     int64 // bytes, the collector's soft limit
 	Bytes    int64 // bytes of requests held, not yet answered
+	Answers  int64 // bytes held of nodes' answers that are not whole
 	Requests int   // open at a time
 }
 
@@ -33,6 +34,7 @@
 		Nodes:    max(2, int(nodesPart*float64(free))),
 		Heap:     int64(heapPart * float64(memory)),
 		Bytes:    int64(bytesPart * float64(memory)),
+		Answers:  int64(bytesPart * float64(memory)),
 		Requests: max(64, int(bytesPart*float64(memory)/requestSize)),
 	}
 }
