--- a/internal/backend/http/backend_test.go
+++ b/internal/backend/http/backend_test.go
@@ -162,28 +162,32 @@
 	}
 }
 
-// TestExcessLater: noise that comes when nothing is out ends the connection, and never is an answer.
+// TestExcessLater: what comes when nothing is out, whole or half a line, ends the connection, and never is an answer.
 func TestExcessLater(t *testing.T) {
-	first := make(chan net.Conn, 1)
-	n := newNode(t, func(s standin.Seen) standin.Reply {
-		if s.Body == "first" {
-			return standin.Reply{Text: standin.Served("one"), Then: func(c net.Conn) { first <- c }}
-		}
-		return standin.Reply{Text: standin.Served("two")}
-	})
-	r := newRig(t, 10, n.Addr())
-	r.send("a", "first")
-	<-r.out
-	c := <-first
-	if _, err := c.Write([]byte(standin.Served("wrong"))); err != nil {
-		t.Fatal(err)
-	}
-	r.send("a", "second")
-	if o := <-r.out; string(o.Data.B) != "two" {
-		t.Fatalf("got %q", o.Data.B)
-	}
-	if s := n.Seen(2); s[1].Conn == 1 {
-		t.Fatal("the connection with noise on it was used again")
+	for _, noise := range []string{standin.Served("wrong"), "HTTP/1.1 200", "\x00"} {
+		t.Run(fmt.Sprintf("%.12q", noise), func(t *testing.T) {
+			first := make(chan net.Conn, 1)
+			n := newNode(t, func(s standin.Seen) standin.Reply {
+				if s.Body == "first" {
+					return standin.Reply{Text: standin.Served("one"), Then: func(c net.Conn) { first <- c }}
+				}
+				return standin.Reply{Text: standin.Served("two")}
+			})
+			r := newRig(t, 10, n.Addr())
+			r.send("a", "first")
+			<-r.out
+			c := <-first
+			if _, err := c.Write([]byte(noise)); err != nil {
+				t.Fatal(err)
+			}
+			r.send("a", "second")
+			if o := <-r.out; string(o.Data.B) != "two" {
+				t.Fatalf("got %q", o.Data.B)
+			}
+			if s := n.Seen(2); s[1].Conn == 1 {
+				t.Fatal("the connection with noise on it was used again")
+			}
+		})
 	}
 }
 
