--- a/cmd/eiderhold/kill_test.go
+++ b/cmd/eiderhold/kill_test.go
@@ -272,9 +272,19 @@
 	for _, id := range site.IDs() {
 		site.Node(id).Set(func(x *standin.Trouble) { x.Hang = true })
 	}
-	began := make(chan bool)
-	go (&standin.Client{Addr: addr, Before: func(string) { close(began) }}).Pull(context.Background(), "records", "f", nil)
-	<-began
+	arrived := func() (n int) {
+		for _, id := range site.IDs() {
+			n += site.Node(id).Counts().Arrived
+		}
+		return n
+	}
+	before := arrived()
+	go (&standin.Client{Addr: addr}).Pull(context.Background(), "records", "f", nil)
+	for limit := time.Now().Add(20 * time.Second); arrived() == before; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) { // only a transfer that is under way keeps the first signal waiting
+			t.Fatal("no request of the transfer came to a node")
+		}
+	}
 	cmd.Process.Signal(syscall.SIGTERM)
 	closed := func() bool { // the first signal was taken: new clients are sent away
 		rep, err := (&standin.Client{Addr: addr}).Pull(context.Background(), "records", "", nil)
