--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"github.com/panjf2000/gnet/v2"
@@ -16,10 +17,11 @@
 	opened  chan gnet.Conn
 	traffic func(gnet.Conn, []byte) gnet.Action
 	closed  chan error
+	l       *Loop
 }
 
 func newPeer(traffic func(gnet.Conn, []byte) gnet.Action) *peer {
-	return &peer{make(chan gnet.Conn, 1), traffic, make(chan error, 1)}
+	return &peer{opened: make(chan gnet.Conn, 1), traffic: traffic, closed: make(chan error, 1)}
 }
 
 func (p *peer) Opened(g gnet.Conn)            { p.opened <- g }
@@ -49,6 +51,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	p.l = l
 	if err := l.Add(s, p); err != nil {
 		t.Fatal(err)
 	}
@@ -98,20 +101,20 @@
 // sending: it reads the answer whole and an end, no reset, and nothing that it sent meanwhile is traffic.
 func TestFinish(t *testing.T) {
 	answer := bytes.Repeat([]byte("answer"), 4<<20/6)
-	traffics := 0
-	var l *Loop
-	p := newPeer(func(g gnet.Conn, b []byte) gnet.Action {
-		if traffics++; traffics > 1 {
+	var traffics atomic.Int32
+	var p *peer
+	p = newPeer(func(g gnet.Conn, b []byte) gnet.Action {
+		if traffics.Add(1) > 1 {
 			return gnet.None
 		}
 		if _, err := g.Write(answer); err != nil {
 			t.Error(err)
 		}
-		l.Finish(g)
-		l.Finish(g) // again changes nothing
+		p.l.Finish(g)
+		p.l.Finish(g) // again changes nothing
 		return gnet.None
 	})
-	l, c := pair(t, p)
+	_, c := pair(t, p)
 	if _, err := c.Write([]byte("ask")); err != nil {
 		t.Fatal(err)
 	}
@@ -141,8 +144,8 @@
 	<-sent
 	c.Close()
 	<-p.closed
-	if traffics != 1 {
-		t.Fatalf("%d times traffic", traffics)
+	if n := traffics.Load(); n != 1 {
+		t.Fatalf("%d times traffic", n)
 	}
 }
 
@@ -150,8 +153,8 @@
 func TestFinishBounds(t *testing.T) {
 	for name, flood := range map[string]bool{"says nothing": false, "goes on sending": true} {
 		t.Run(name, func(t *testing.T) {
-			var l *Loop
-			p := newPeer(func(g gnet.Conn, b []byte) gnet.Action { l.Finish(g); return gnet.None })
+			var p *peer
+			p = newPeer(func(g gnet.Conn, b []byte) gnet.Action { p.l.Finish(g); return gnet.None })
 			l, c := pair(t, p)
 			if _, err := c.Write([]byte("ask")); err != nil {
 				t.Fatal(err)
