--- a/review/stand/link.go
+++ b/review/stand/link.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -42,7 +43,7 @@
 	}()
 	go func() {
 		for p := range arrived {
-			time.Sleep(time.Until(p.due))
+			sleepUntil(p.due)
 			if _, err := w.Write(p.data); err != nil {
 				break
 			}
@@ -53,7 +54,7 @@
 	}()
 	go func() {
 		for p := range l.out {
-			time.Sleep(time.Until(p.due))
+			sleepUntil(p.due)
 			if _, err := c.Write(p.data); err != nil {
 				break
 			}
@@ -65,6 +66,14 @@
 	return l
 }
 
+// sleepUntil sleeps by the kernel's timer: the runtime's may be a millisecond late, which is longer than the network takes.
+func sleepUntil(t time.Time) {
+	if d := time.Until(t); d > 0 {
+		ts := syscall.NsecToTimespec(int64(d))
+		_ = syscall.Nanosleep(&ts, nil)
+	}
+}
+
 func (l *Link) Read(p []byte) (int, error) { return l.in.Read(p) }
 
 // Write sends p; it does not wait for it to leave.
