--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -58,9 +58,6 @@
 	fmt.Printf(format+"\n", args...)
 }
 
-// Trouble reports whether the case runs with its disruption.
-func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
-
 // Target is one entry of discovery's list.
 type Target struct {
 	UID      string  `json:"uid"`
