Discovery that answers late is heard: requests overlap instead of being given up

The drain rule was broken.

Cause: one request to discovery was open at a time (membership/scheduler.go), so its time-out had to serve two ends: to replace a request that is dead (made while discovery was down) soon, and to wait for an agent that is slow. TrialTimeout of 0.6 s gave up each request before its answer. After eight failures it doubled up to 9.6 s: too late for the second end, and after a long outage too long for the first, as the request made just before the return held up the next one.

Evidence: the record of the case. Calls 1 to 9 were closed by the host 0.60 s after each began, call 10 after 1.20 s; call 11, at 8.42 s, was answered at 9.92 s, and nothing went to the node from then on. The log has "no object in time" for each of the ten.

Change: another request starts 0.85 s after one without an answer (the gap at which a silent agent was asked before), each stays open for 5.95 s, the oldest for 30 s, and the first answer closes the others; time-outs no longer grow. Requests at a former address stay open after SIGHUP, so that addresses in quick succession do not keep a slow agent from being heard. The log names a request, and how long its answer took; stats has unanswered and answer.

Why it works: an agent that answers after D is heard D after a start or a new address, 2.5 s + D after a watch fell silent, 0.85 s + D after an outage of any length, for each D up to 5.95 s, whatever earlier requests came to.

Cost: an agent that answers within 0.85 s gets one request, as before; in the case 2 instead of 11; a silent one gets one each 0.85 s, as before in the first 7 s (one each 9.85 s after that, before), with at most eight open.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -38,10 +38,11 @@
 	state          State
 
 	// The fields below are used by Run only, and by SetKnownList before it.
+	followed  string // the address of new requests
 	list      *membership.List
 	cached    *host.List // the list known at the start, not yet delivered to the host
 	current   *watch
-	trial     *watch
+	trials    map[membership.TrialID]*watch
 	scheduler *membership.Scheduler
 	startedAt time.Time
 }
@@ -51,16 +52,18 @@
 	Address      string
 	Rev          uint64
 	Nodes        int
-	LastReceived time.Time // when the current watch last received bytes
-	Requests     uint64    // requests for a watch or a list since the start
-	Skipped      uint64    // invalid entries skipped since the start
+	LastReceived time.Time     // when the current watch last received bytes
+	Requests     uint64        // requests for a watch or a list since the start
+	Unanswered   int           // open requests without an object
+	AnswerTime   time.Duration // from the last answered request to its first object
+	Skipped      uint64        // invalid entries skipped since the start
 	Watching     bool
 }
 
 // New returns a feed that follows discovery at an address, to be started with Run.
 func New(addr string, h Host, log *slog.Logger) *Feed {
 	return &Feed{host: h, log: log, timing: membership.DefaultTiming, events: make(chan any), addr: addr,
-		addressChanged: make(chan struct{}, 1), list: membership.New()}
+		addressChanged: make(chan struct{}, 1), list: membership.New(), trials: map[membership.TrialID]*watch{}}
 }
 
 // SetKnownList sets the node list that this host held before its restart. The list may be out of date, and the
@@ -115,7 +118,7 @@
 
 // Run follows the node list until ctx is done. It owns the list and the watches, which post their events to it.
 func (f *Feed) Run(ctx context.Context) {
-	f.startedAt = time.Now()
+	f.startedAt, f.followed = time.Now(), f.State().Address
 	f.scheduler = membership.NewScheduler(f.timing, f.list.Len() == 0)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -129,9 +132,9 @@
 		select {
 		case <-ctx.Done():
 		case <-f.addressChanged:
-			f.closeWatch(&f.trial)
+			f.followed = f.State().Address
 			f.scheduler.AddressChanged(f.clock())
-			f.log.Info("discovery: address changed", "addr", f.State().Address)
+			f.log.Info("discovery: address changed", "addr", f.followed)
 		case e := <-f.events:
 			f.handleEvent(e)
 		case <-timer.C:
@@ -149,28 +152,57 @@
 		f.deliverCached()
 	}
 	for {
-		switch s := f.scheduler.Next(f.clock()); s {
+		now := f.clock()
+		switch step := f.scheduler.Next(now); step.Kind {
 		case membership.Wait:
 			return
 		case membership.TrialTimedOut:
-			f.log.Warn("discovery: no object in time; the list held applies meanwhile", "addr", f.trial.addr, "within", f.timing.TrialTimeout)
-			f.closeWatch(&f.trial)
+			w := f.trials[step.Trial]
+			f.log.Warn("discovery: no object in time; the list held applies meanwhile", "addr", w.addr, "request", w.id, "within", now-w.startedAt)
+			f.closeTrial(step.Trial)
 		case membership.CancelTrial:
-			f.closeWatch(&f.trial)
+			f.closeTrial(step.Trial)
 		default:
-			addr := f.State().Address
-			f.trial = f.startWatch(ctx, addr, s == membership.FetchAll, f.list.Rev())
-			f.updateState(func(s *State) { s.Requests++ })
+			f.openTrial(ctx, step, now)
 		}
 	}
 }
 
-// closeWatch closes a watch. Events that it may still post are ignored.
-func (f *Feed) closeWatch(w **watch) {
-	if *w != nil {
-		(*w).cancel()
-		*w = nil
+// openTrial sends a request, on trial.
+func (f *Feed) openTrial(ctx context.Context, step membership.Step, now time.Duration) {
+	w := &watch{id: step.Trial, addr: f.followed, fetchAll: step.Kind == membership.FetchAll, startedAt: now}
+	f.startWatch(ctx, w, f.list.Rev())
+	f.trials[w.id] = w
+	f.updateState(func(s *State) { s.Requests, s.Unanswered = s.Requests+1, len(f.trials) })
+}
+
+// closeTrial closes a trial. Events that it may still post are ignored.
+func (f *Feed) closeTrial(id membership.TrialID) {
+	f.trials[id].cancel()
+	f.removeTrial(id)
+}
+
+// removeTrial removes a trial that has succeeded, failed or been closed.
+func (f *Feed) removeTrial(id membership.TrialID) {
+	delete(f.trials, id)
+	f.updateState(func(s *State) { s.Unanswered = len(f.trials) })
+}
+
+// promote makes a trial that has sent its first object the current watch. A request of the whole list is complete.
+func (f *Feed) promote(w *watch, now time.Duration) {
+	f.removeTrial(w.id)
+	f.scheduler.TrialSucceeded(now, w.id)
+	f.updateState(func(s *State) { s.AnswerTime = now - w.startedAt })
+	f.log.Info("discovery: answered", "addr", w.addr, "request", w.id, "whole", w.fetchAll, "after", now-w.startedAt)
+	if w.fetchAll {
+		w.cancel()
+		return
+	}
+	if f.current != nil {
+		f.current.cancel()
 	}
+	f.current = w
+	f.updateState(func(s *State) { s.LastReceived, s.Watching = time.Now(), true })
 }
 
 // handleEvent processes an event that a watch has posted.
@@ -184,16 +216,8 @@
 		}
 	case objectReceived:
 		switch e.watch {
-		case f.trial:
-			f.trial = nil
-			f.scheduler.TrialSucceeded(now)
-			if e.watch.fetchAll {
-				e.watch.cancel() // the request was for the whole list only
-			} else {
-				f.closeWatch(&f.current)
-				f.current = e.watch
-				f.updateState(func(s *State) { s.LastReceived, s.Watching = time.Now(), true })
-			}
+		case f.trials[e.watch.id]:
+			f.promote(e.watch, now)
 		case f.current:
 			f.scheduler.Received(now)
 		default:
@@ -202,9 +226,9 @@
 		f.handleUpdate(e.update)
 	case watchEnded:
 		switch e.watch {
-		case f.trial:
-			f.trial = nil
-			f.scheduler.TrialFailed(now)
+		case f.trials[e.watch.id]:
+			f.removeTrial(e.watch.id)
+			f.scheduler.TrialFailed(now, e.watch.id)
 		case f.current:
 			f.current = nil
 			f.scheduler.WatchEnded(now)
@@ -212,7 +236,7 @@
 		default:
 			return
 		}
-		f.log.Warn("discovery: a connection ended; the list held applies meanwhile", "addr", e.watch.addr, "err", e.err)
+		f.log.Warn("discovery: a connection ended; the list held applies meanwhile", "addr", e.watch.addr, "request", e.watch.id, "err", e.err)
 	}
 }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strconv"
+	"time"
 
 	"eiderhold/internal/http1"
 	"eiderhold/membership"
@@ -15,9 +16,11 @@
 
 // watch is one connection to discovery, for a watch or for a single request of the whole list.
 type watch struct {
-	addr     string
-	fetchAll bool
-	cancel   context.CancelFunc
+	id        membership.TrialID
+	addr      string
+	fetchAll  bool
+	startedAt time.Duration
+	cancel    context.CancelFunc
 }
 
 // Events that a watch posts to Feed.Run.
@@ -35,9 +38,9 @@
 
 // startWatch opens a watch from a revision, in its own goroutine. It posts the watch's events; the last one is
 // watchEnded unless ctx is done first.
-func (f *Feed) startWatch(ctx context.Context, addr string, fetchAll bool, from uint64) *watch {
+func (f *Feed) startWatch(ctx context.Context, w *watch, from uint64) {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &watch{addr: addr, fetchAll: fetchAll, cancel: cancel}
+	w.cancel = cancel
 	go func() {
 		defer cancel()
 		post := func(e any) error {
@@ -51,7 +54,6 @@
 		err := w.run(ctx, from, post)
 		_ = post(watchEnded{w, fmt.Errorf("discovery: %w", err)})
 	}()
-	return w
 }
 
 // run sends the request and posts what it receives until the connection ends or ctx is done.
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -259,7 +259,7 @@
 					"late", h.LateOutcomes, "left", h.ClientsGone, "defects", h.Defects, "results", h.Results,
 					"mailbox_p99", h.Mailbox.Percentile(99), "mailbox_max", h.Mailbox.Percentile(100), "decide_p99", h.Decide.Percentile(99),
 					"outcome_p50", h.Outcome.Percentile(50), "outcome_p99", h.Outcome.Percentile(99)),
-				slog.Group("discovery", "rev", d.Rev, "nodes", d.Nodes, "watching", d.Watching, "watches", d.Requests, "passed", d.Skipped),
+				slog.Group("discovery", "rev", d.Rev, "nodes", d.Nodes, "watching", d.Watching, "watches", d.Requests, "unanswered", d.Unanswered, "answer", d.AnswerTime, "passed", d.Skipped),
 				slog.Group("process", "heap", samples[0].Value.Uint64(), "memory", samples[1].Value.Uint64(),
 					"goroutines", samples[2].Value.Uint64(), "collections", samples[3].Value.Uint64(), "maxrss_kb", cpu.Maxrss,
 					"user", time.Duration(cpu.Utime.Nano()), "system", time.Duration(cpu.Stime.Nano())))
--- a/membership/scheduler.go
+++ b/membership/scheduler.go
@@ -7,31 +7,48 @@
 // standing test).
 const UpdateDeadline = 6 * time.Second
 
-// Timing holds the bounds that together meet UpdateDeadline: SilenceTimeout + 3 x (TrialTimeout + MaxRetryDelay) is
-// less, so that two consecutive trials may fail. A change that the agent has after downtime is due at once, hence
-// the short TrialTimeout.
+// Timing holds the time limits of watches. A trial without an answer may be dead, if it was started while the agent
+// was down, or the agent may be slow. Both are covered: further trials are started while earlier ones stay open. An
+// agent that answers each request after a delay of at most TrialTimeout is therefore heard TrialInterval and that
+// delay after it became reachable, at the latest, whatever became of earlier trials.
 type Timing struct {
-	SilenceTimeout time.Duration // without a byte until another watch opens; discovery sends an empty line every 2 s
-	TrialTimeout   time.Duration // from the dial to the first object, which the agent on the same machine sends at once
-	MinRetryDelay  time.Duration // after the first failed trial
-	MaxRetryDelay  time.Duration // maximum after repeated failures
-	KnownListDelay time.Duration // how long a new process waits for the agent before it uses the list known from before
+	SilenceTimeout     time.Duration // without a byte until another watch opens; discovery sends an empty line every 2 s
+	TrialInterval      time.Duration // from the start of a trial without an answer to the start of the next one
+	TrialTimeout       time.Duration // from the start of a trial to its first object
+	OldestTrialTimeout time.Duration // the same for the oldest open trial, for an agent that is slower than TrialTimeout
+	MinRetryDelay      time.Duration // after the first failed trial
+	MaxRetryDelay      time.Duration // maximum after repeated failures
+	KnownListDelay     time.Duration // how long a new process waits for the agent before it uses the list known from before
 }
 
-// After extendAfterFailures consecutive failures, each further trial gets twice the time of the one before, up to
-// maxTrialDoublings times. UpdateDeadline is missed by then; an agent that needs longer for its list still gets
-// through.
+// DefaultTiming is the timing used on the platform. What the agent has is binding as soon as it is reachable, hence
+// the short TrialInterval; an object that takes longer than UpdateDeadline is late in any case, hence TrialTimeout.
+var DefaultTiming = Timing{SilenceTimeout: 2500 * time.Millisecond, TrialInterval: trialInterval, TrialTimeout: 7 * trialInterval,
+	OldestTrialTimeout: 30 * time.Second, MinRetryDelay: 20 * time.Millisecond, MaxRetryDelay: 250 * time.Millisecond,
+	KnownListDelay: 1500 * time.Millisecond}
+
 const (
-	extendAfterFailures = 8
-	maxTrialDoublings   = 4
+	trialInterval = 850 * time.Millisecond
+
+	// MaxTrials is the maximum number of open trials: TrialTimeout / TrialInterval, and the oldest one.
+	MaxTrials = 8
+
+	maxBackoffDoublings = 10 // avoids an overflow of the retry delay
 )
 
-// DefaultTiming is the timing used on the platform.
-var DefaultTiming = Timing{SilenceTimeout: 2500 * time.Millisecond, TrialTimeout: 600 * time.Millisecond,
-	MinRetryDelay: 20 * time.Millisecond, MaxRetryDelay: 250 * time.Millisecond, KnownListDelay: 1500 * time.Millisecond}
+// TrialID identifies a trial. IDs ascend in the order of starts.
+type TrialID uint64
+
+// trial is a watch, or a request of the whole list, that has not sent an object yet.
+type trial struct {
+	id            TrialID
+	fetchAll      bool
+	formerAddress bool // it was started at an address that has been replaced
+	startedAt     time.Duration
+}
 
-// Scheduler decides when a watch is opened. At most two are open: the current watch, and one on trial, which replaces
-// it with its first object. A working watch is therefore never dropped for one that does not work.
+// Scheduler decides when a watch is opened. One watch is current. Others are on trial: the first of them to send an
+// object replaces the current one. A working watch is therefore never dropped for one that does not work.
 type Scheduler struct {
 	timing Timing
 
@@ -40,9 +57,10 @@
 	lastReceived  time.Duration // when the current watch last received bytes
 	replace       bool          // replace even a working watch: new address, or resync
 	fetchAll      bool          // request the whole list before the next watch
-	trial         bool
-	trialDeadline time.Duration
-	notBefore     time.Duration // the next trial starts no earlier
+	trials        []trial       // open trials, the oldest first
+	lastTrial     TrialID
+	lastSuccess   TrialID       // the trial that became the current watch
+	nextTrial     time.Duration // the next trial starts no earlier
 	failures      int
 }
 
@@ -52,47 +70,100 @@
 	return &Scheduler{timing: timing, fetchAll: fetchAll}
 }
 
-// Step is the next step for the caller of a Scheduler.
-type Step int
+// StepKind is what a Step asks for.
+type StepKind int
 
-// The steps.
+// The kinds of steps.
 const (
-	Wait          Step = iota // do nothing until Due
-	OpenWatch                 // open a watch, on trial
-	FetchAll                  // request the whole list, on trial
-	TrialTimedOut             // close the watch on trial: it has sent no object in time
-	CancelTrial               // close the watch on trial: the current watch works again
+	Wait          StepKind = iota // do nothing until Due
+	OpenWatch                     // open a watch, on trial
+	FetchAll                      // request the whole list, on trial
+	TrialTimedOut                 // close a trial: it has sent no object in time
+	CancelTrial                   // close a trial: it is no longer needed
 )
 
+// Step is the next step for the caller of a Scheduler.
+type Step struct {
+	Kind  StepKind
+	Trial TrialID // the trial to start or to close; 0 for Wait
+}
+
 // Next returns the step for now. The caller must execute it: the Scheduler takes it as done.
 func (s *Scheduler) Next(now time.Duration) Step {
-	wanted := s.fetchAll || !s.watching || s.replace || now >= s.lastReceived+s.timing.SilenceTimeout
-	switch {
-	case s.trial && !wanted:
-		s.trial = false
-		return CancelTrial
-	case s.trial && now >= s.trialDeadline:
-		s.TrialFailed(now)
-		return TrialTimedOut
-	case s.trial || !wanted || now < s.notBefore:
-		return Wait
-	}
-	s.trial, s.trialDeadline = true, now+s.timing.TrialTimeout<<min(max(0, s.failures-extendAfterFailures), maxTrialDoublings)
+	wanted := s.wanted(now)
+	for i, t := range s.trials {
+		switch {
+		case !wanted || t.fetchAll != s.fetchAll || t.id < s.lastSuccess:
+			return s.closeTrial(i, CancelTrial)
+		case now >= s.deadline(i):
+			return s.closeTrial(i, TrialTimedOut)
+		}
+	}
+	if !wanted || now < s.nextTrial {
+		return Step{Kind: Wait}
+	}
+	if len(s.trials) >= MaxTrials {
+		return s.closeTrial(0, TrialTimedOut)
+	}
+	return s.startTrial(now)
+}
+
+// wanted reports whether a trial is needed.
+func (s *Scheduler) wanted(now time.Duration) bool {
+	return s.fetchAll || !s.watching || s.replace || now >= s.lastReceived+s.timing.SilenceTimeout
+}
+
+// deadline returns the time by which the i-th trial must have sent an object.
+func (s *Scheduler) deadline(i int) time.Duration {
+	if i == 0 {
+		return s.trials[i].startedAt + s.timing.OldestTrialTimeout
+	}
+	return s.trials[i].startedAt + s.timing.TrialTimeout
+}
+
+// startTrial starts a trial. The next one follows TrialInterval later, if this one does not end before.
+func (s *Scheduler) startTrial(now time.Duration) Step {
+	s.lastTrial++
+	s.trials = append(s.trials, trial{id: s.lastTrial, fetchAll: s.fetchAll, startedAt: now})
+	s.nextTrial = now + s.timing.TrialInterval
 	if s.fetchAll {
-		return FetchAll
+		return Step{FetchAll, s.lastTrial}
 	}
-	return OpenWatch
+	return Step{OpenWatch, s.lastTrial}
+}
+
+// closeTrial removes the i-th trial and returns the step that closes it.
+func (s *Scheduler) closeTrial(i int, kind StepKind) Step {
+	return Step{kind, s.remove(i).id}
+}
+
+// remove removes and returns the i-th trial.
+func (s *Scheduler) remove(i int) trial {
+	t := s.trials[i]
+	s.trials = append(s.trials[:i], s.trials[i+1:]...)
+	return t
+}
+
+// find returns the index of an open trial, or -1.
+func (s *Scheduler) find(id TrialID) int {
+	for i, t := range s.trials {
+		if t.id == id {
+			return i
+		}
+	}
+	return -1
 }
 
 // Due returns the time at which Next must be called again at the latest.
 func (s *Scheduler) Due(now time.Duration) time.Duration {
-	switch {
-	case s.trial:
-		return s.trialDeadline
-	case !s.watching || s.replace || s.fetchAll || now >= s.lastReceived+s.timing.SilenceTimeout:
-		return max(now, s.notBefore)
+	due := s.nextTrial
+	if !s.wanted(now) {
+		due = max(due, s.lastReceived+s.timing.SilenceTimeout)
+	}
+	for i := range s.trials {
+		due = min(due, s.deadline(i))
 	}
-	return max(s.lastReceived+s.timing.SilenceTimeout, s.notBefore)
+	return max(now, due)
 }
 
 // Received reports bytes on the current watch.
@@ -103,42 +174,61 @@
 	}
 }
 
-// TrialSucceeded reports the first object on trial. A watch becomes the current one; a request of the whole list is
-// complete.
-func (s *Scheduler) TrialSucceeded(now time.Duration) {
-	s.trial = false
-	if s.fetchAll {
-		s.fetchAll = false
+// TrialSucceeded reports the first object on a trial. A watch becomes the current one; a request of the whole list is
+// complete. A watch at a former address is useful until there is one at the new address.
+func (s *Scheduler) TrialSucceeded(now time.Duration, id TrialID) {
+	i := s.find(id)
+	if i < 0 {
+		return
+	}
+	t := s.remove(i)
+	if t.fetchAll {
+		s.fetchAll, s.nextTrial = false, now
 		return
 	}
-	s.watching, s.replace, s.watchingSince, s.lastReceived = true, false, now, now
+	s.watching, s.watchingSince, s.lastReceived, s.lastSuccess = true, now, now, id
+	s.replace = t.formerAddress
+	if !t.formerAddress {
+		s.nextTrial = now
+	}
 }
 
-// TrialFailed reports that the watch on trial has ended without an object.
-func (s *Scheduler) TrialFailed(now time.Duration) {
-	s.trial = false
-	s.backOff(now)
+// TrialFailed reports that a trial has ended without an object. It is retried early only if no later trial is open,
+// so that the rate of requests does not grow with the number of open trials.
+func (s *Scheduler) TrialFailed(now time.Duration, id TrialID) {
+	i := s.find(id)
+	if i < 0 {
+		return
+	}
+	s.remove(i)
+	if id == s.lastTrial {
+		s.nextTrial = min(s.nextTrial, s.backOff(now))
+	}
 }
 
 // WatchEnded reports that the current watch has ended.
 func (s *Scheduler) WatchEnded(now time.Duration) {
 	s.watching = false
-	if !s.trial {
-		s.backOff(now)
+	if len(s.trials) == 0 {
+		s.nextTrial = s.backOff(now)
 	}
 }
 
-// backOff delays the next trial, the longer the more have failed in a row. It limits the rate of requests to an agent
-// that ends each watch at once.
-func (s *Scheduler) backOff(now time.Duration) {
-	s.notBefore = now + min(s.timing.MaxRetryDelay, s.timing.MinRetryDelay<<min(s.failures, 10))
+// backOff returns the time of the next retry, the later the more have failed in a row. It limits the rate of requests
+// to an agent that ends each watch at once.
+func (s *Scheduler) backOff(now time.Duration) time.Duration {
+	delay := min(s.timing.MaxRetryDelay, s.timing.MinRetryDelay<<min(s.failures, maxBackoffDoublings))
 	s.failures++
+	return now + delay
 }
 
-// AddressChanged reports a new address of discovery. The current watch stays until a watch at the new address has
-// sent an object. The caller closes the watch on trial.
+// AddressChanged reports a new address of discovery. A trial starts there at once. The current watch and the open
+// trials at the former address stay until a watch at the new address has sent an object.
 func (s *Scheduler) AddressChanged(now time.Duration) {
-	s.trial, s.replace, s.failures, s.notBefore = false, s.watching, 0, now
+	for i := range s.trials {
+		s.trials[i].formerAddress = true
+	}
+	s.replace, s.failures, s.nextTrial = s.watching, 0, now
 }
 
 // Resync reports that an update does not follow on the list held: the whole list is requested, then a new watch from
