membership: requests for the whole list after an outdated update have a retry delay

An agent whose updates are always older than its list (say, two agents behind one address) was asked for the whole list and a watch again and again without a pause, as the retry delay applied to failed requests only; each list is paid for by the whole fleet. TestResync and TestResyncCancelsWatches let that delay pass.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -272,7 +272,7 @@
 		return nil
 	case membership.Outdated:
 		f.log.Warn("discovery: a version older than the one held; the whole list is asked for", "rev", u.Rev, "held", held)
-		f.scheduler.Resync()
+		f.scheduler.Resync(f.clock())
 		return nil
 	}
 	for _, err := range skipped {
--- a/membership/scheduler.go
+++ b/membership/scheduler.go
@@ -232,5 +232,7 @@
 }
 
 // Resync reports that an update does not follow on the list held: the whole list is requested, then a new watch from
-// its revision.
-func (s *Scheduler) Resync() { s.fetchAll, s.replace = true, s.watching }
+// its revision. Its retry delay limits the rate of lists from an agent whose updates never follow on its list.
+func (s *Scheduler) Resync(now time.Duration) {
+	s.fetchAll, s.replace, s.nextTrial = true, s.watching, s.backOff(now)
+}
--- a/membership/scheduler_test.go
+++ b/membership/scheduler_test.go
@@ -194,16 +194,20 @@
 // TestResync checks that Resync causes a request of the whole list, then of a new watch.
 func TestResync(t *testing.T) {
 	k := NewScheduler(DefaultTiming, true)
-	for i, want := range []StepKind{FetchAll, OpenWatch, Wait, FetchAll, OpenWatch, Wait} {
-		if i == 3 {
-			k.Resync()
+	now := time.Duration(0)
+	for i, want := range []StepKind{FetchAll, OpenWatch, Wait, Wait, FetchAll, OpenWatch, Wait} {
+		switch i {
+		case 3:
+			k.Resync(now)
+		case 4:
+			now += DefaultTiming.MinRetryDelay
 		}
-		s := k.Next(0)
+		s := k.Next(now)
 		if s.Kind != want {
 			t.Fatalf("step %d is %+v, expected %d", i, s, want)
 		}
 		if s.Kind != Wait {
-			k.TrialSucceeded(0, s.Trial)
+			k.TrialSucceeded(now, s.Trial)
 		}
 	}
 }
@@ -215,14 +219,35 @@
 	slow := k.Next(0)
 	second := k.Next(DefaultTiming.TrialInterval)
 	k.TrialSucceeded(DefaultTiming.TrialInterval, slow.Trial)
-	k.Resync()
-	for i, want := range []Step{{CancelTrial, second.Trial}, {FetchAll, second.Trial + 1}, {Wait, 0}} {
-		if s := k.Next(DefaultTiming.TrialInterval); s != want {
+	k.Resync(DefaultTiming.TrialInterval)
+	for i, want := range []Step{{CancelTrial, second.Trial}, {Wait, 0}, {FetchAll, second.Trial + 1}, {Wait, 0}} {
+		if s := k.Next(DefaultTiming.TrialInterval + time.Duration(i/2)*DefaultTiming.MinRetryDelay); s != want {
 			t.Fatalf("step %d is %+v, expected %+v", i, s, want)
 		}
 	}
 }
 
+// TestResyncRate guards against an unlimited rate of requests for the whole list to an agent whose updates are always
+// older than its list.
+func TestResyncRate(t *testing.T) {
+	k, now, lists := NewScheduler(DefaultTiming, false), time.Duration(0), 0
+	for now < 10*time.Second && lists < 1000 {
+		switch s := k.Next(now); s.Kind {
+		case FetchAll:
+			lists++
+			k.TrialSucceeded(now, s.Trial)
+		case OpenWatch:
+			k.TrialSucceeded(now, s.Trial)
+			k.Resync(now)
+		default:
+			now = max(now+time.Millisecond, k.Due(now))
+		}
+	}
+	if lists > 60 {
+		t.Errorf("%d lists in %v", lists, now)
+	}
+}
+
 // TestRetryRate checks that an agent which ends each watch at once gets only a few requests a second.
 func TestRetryRate(t *testing.T) {
 	k, now, tries := NewScheduler(DefaultTiming, false), time.Duration(0), 0
