membership: a dead request does not keep an agent that limits open ones from another

An agent that refuses more than a few open requests of a host accepts none as long as the dead ones of an outage are open, the oldest for 30 s: the list would come 28 s too late. (Before requests overlapped, the only one was given up after 0.6 to 9.6 s.) Cause: deadline() in membership/scheduler.go knew the age and the place of a request only. Change: a request after which all later ones have failed is given up after 3.5 s, so that it and the next have the same time within 6 s and the grace. One after which another was accepted is not touched: an agent that refuses a part of the requests and is slow with the rest is still heard (TestCrowdedAgentAtStart). Test: TestCrowdedAgentAfterOutage failed before ("at most 1 requests, outage of 113ms: heard at 30.02s"). Result: membership and internal/discovery pass.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -51,7 +51,7 @@
 
 // shortTiming is the default timing scaled down, to keep tests fast.
 var shortTiming = membership.Timing{SilenceTimeout: 250 * time.Millisecond, TrialInterval: 85 * time.Millisecond, TrialTimeout: 595 * time.Millisecond,
-	OldestTrialTimeout: 3 * time.Second, MinRetryDelay: 2 * time.Millisecond, MaxRetryDelay: 25 * time.Millisecond, KnownListDelay: 150 * time.Millisecond}
+	OldestTrialTimeout: 3 * time.Second, RefusedTimeout: 350 * time.Millisecond, MinRetryDelay: 2 * time.Millisecond, MaxRetryDelay: 25 * time.Millisecond, KnownListDelay: 150 * time.Millisecond}
 
 // startFeed starts a feed with the given timing and, if not empty, a known list.
 func startFeed(t *testing.T, addr string, timing membership.Timing, known string) (*Feed, *fakeHost, *standin.Log) {
--- a/membership/scheduler.go
+++ b/membership/scheduler.go
@@ -16,6 +16,7 @@
 	TrialInterval      time.Duration // from the start of a trial without an answer to the start of the next one
 	TrialTimeout       time.Duration // from the start of a trial to its first object
 	OldestTrialTimeout time.Duration // the same for the oldest open trial, for an agent that is slower than TrialTimeout
+	RefusedTimeout     time.Duration // the same if all later trials have failed, for an agent that limits open requests
 	MinRetryDelay      time.Duration // after the first failed trial
 	MaxRetryDelay      time.Duration // maximum after repeated failures
 	KnownListDelay     time.Duration // how long a new process waits for the agent before it uses the list known from before
@@ -24,8 +25,8 @@
 // DefaultTiming is the timing used on the platform. What the agent has is binding as soon as it is reachable, hence
 // the short TrialInterval; an object that takes longer than UpdateDeadline is late in any case, hence TrialTimeout.
 var DefaultTiming = Timing{SilenceTimeout: 2500 * time.Millisecond, TrialInterval: trialInterval, TrialTimeout: 7 * trialInterval,
-	OldestTrialTimeout: 30 * time.Second, MinRetryDelay: 20 * time.Millisecond, MaxRetryDelay: 250 * time.Millisecond,
-	KnownListDelay: 1500 * time.Millisecond}
+	OldestTrialTimeout: 30 * time.Second, RefusedTimeout: 3500 * time.Millisecond, MinRetryDelay: 20 * time.Millisecond,
+	MaxRetryDelay: 250 * time.Millisecond, KnownListDelay: 1500 * time.Millisecond}
 
 const (
 	trialInterval = 850 * time.Millisecond
@@ -113,12 +114,19 @@
 	return s.fetchAll || !s.watching || s.replace || now >= s.lastReceived+s.timing.SilenceTimeout
 }
 
-// deadline returns the time by which the i-th trial must have sent an object.
+// deadline returns the time by which the i-th trial must have sent an object. Where all later trials have failed, the
+// agent may refuse them because this one is open, and this one may be dead: it makes room for another one early enough
+// for both to have the same time.
 func (s *Scheduler) deadline(i int) time.Duration {
-	if i == 0 {
-		return s.trials[i].startedAt + s.timing.OldestTrialTimeout
-	}
-	return s.trials[i].startedAt + s.timing.TrialTimeout
+	t := s.trials[i]
+	laterFailed := i == len(s.trials)-1 && t.id != s.lastTrial
+	switch {
+	case laterFailed:
+		return t.startedAt + s.timing.RefusedTimeout
+	case i == 0:
+		return t.startedAt + s.timing.OldestTrialTimeout
+	}
+	return t.startedAt + s.timing.TrialTimeout
 }
 
 // startTrial starts a trial. The next one follows TrialInterval later, if this one does not end before.
--- a/membership/slow_agent_test.go
+++ b/membership/slow_agent_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 )
@@ -82,6 +83,57 @@
 	}
 }
 
+// TestCrowdedAgentAfterOutage guards against requests that are dead and keep an agent, which refuses more than a few open
+// requests of a host, from accepting another one after an outage.
+func TestCrowdedAgentAfterOutage(t *testing.T) {
+	for limit := 1; limit <= 4; limit++ {
+		for outage := stepOfTest; outage < 40*time.Second; outage += 3 * stepOfTest {
+			for _, delay := range delays() {
+				needed := DefaultTiming.RefusedTimeout + DefaultTiming.MaxRetryDelay + delay
+				if needed > UpdateDeadline+drainGrace-slack || delay >= DefaultTiming.RefusedTimeout {
+					break // the agent would have to be asked anew before it could answer
+				}
+				var s *simulation
+				s = newSimulation(NewScheduler(DefaultTiming, false), func(now time.Duration, _ bool) (bool, time.Duration) {
+					switch {
+					case len(s.open) >= limit:
+						return false, time.Millisecond
+					case now < outage:
+						return false, 0
+					}
+					return true, delay
+				}, 0)
+				s.run(outage + time.Minute)
+				if len(s.succeeded) == 0 || s.succeeded[0]-outage > dueBy(UpdateDeadline, needed) {
+					t.Fatalf("at most %d requests, outage of %v, answers after %v: heard at %v", limit, outage, delay, s.succeeded)
+				}
+			}
+		}
+	}
+}
+
+// TestCrowdedAgentAtStart checks that a slow agent which accepts a part of the requests only is heard: those that it
+// refuses do not end the others.
+func TestCrowdedAgentAtStart(t *testing.T) {
+	for seed := range int64(20) {
+		for _, delay := range delays() {
+			rng, first := rand.New(rand.NewSource(seed)), time.Duration(-1)
+			succeeded, _ := simulate(NewScheduler(DefaultTiming, false), func(now time.Duration, _ bool) (bool, time.Duration) {
+				if rng.Intn(3) == 0 {
+					return false, time.Millisecond
+				}
+				if first < 0 {
+					first = now
+				}
+				return true, delay
+			}, 0, time.Minute)
+			if len(succeeded) == 0 || succeeded[0] > first+delay {
+				t.Errorf("seed %d, answers after %v: first accepted at %v, heard at %v", seed, delay, first, succeeded)
+			}
+		}
+	}
+}
+
 // TestSlowAgentAfterSilence checks that what a silent watch misses is heard in time from an agent that answers late,
 // also if the first request for another watch is lost.
 func TestSlowAgentAfterSilence(t *testing.T) {
