host: in a late turn the controller decides before a request expires, and answers count

What callers saw: TestSilentNode (KNOWN-RED) failed now and then beside load: 504 "no decision within the client's time" instead of the controller's decision, and an answer that a node had given in time was dropped as late. Cause: host.turn advanced the timers before it took the mailbox, and the request's expiry failed it at once. Where the loop wakes 20 ms late or more, the attempt's timeout and the expiry are due in one turn: the timeout was in the batch for the controller, but the request had its answer before the controller's step; an outcome that lay in the mailbox found its attempt timed out. Evidence: with a clock of its own, a turn 501 ms after a request of 500 ms: "no decision within the client's time" with one defect, and, with an outcome reported 401 ms before, LateOutcomes:1 and no answer from the node. Change: the mailbox first, then the timers, then the controller's step, then the expired requests that are still open. Tests: TestLateTurn and TestLateTurnWithAnswer, both seen to fail before. TestNoDecisionFailsRequestOnExpiry is as it was.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -206,6 +206,7 @@
 	nextRef      uint64
 	requests     map[string]*request
 	inFlight     map[uint64]*attempt
+	expired      []*request // in this turn
 	nodes        map[string]Node
 	nodeStarts   map[string]nodeStart
 	stats        Stats
@@ -402,7 +403,8 @@
 
 var errStopRequested = errors.New("stopped")
 
-// turn processes one batch: all messages of the mailbox and all timers that are due.
+// turn processes one batch: all messages of the mailbox and all timers that are due. If it comes late, an outcome that
+// has been reported applies before the timeout of its attempt, and the controller decides before a request expires.
 func (h *Host) turn() {
 	h.mu.Lock()
 	box := h.mailbox
@@ -411,23 +413,14 @@
 
 	h.now = h.clock()
 	h.events = h.events[:0]
-	h.wheel.Advance(h.now, h.handleTimer)
 	for i, m := range box {
 		h.handleMessage(m)
 		box[i] = nil
 	}
 	h.spareMailbox = box
-	if len(h.events) > 0 {
-		actions := h.controller.Step(h.now, h.events)
-		if h.options.Recorder != nil {
-			h.options.Recorder.Batch(h.now, h.events, actions)
-		}
-		h.stats.Turns++
-		h.stats.Events += uint64(len(h.events))
-		for _, a := range actions {
-			h.execute(a)
-		}
-	}
+	h.wheel.Advance(h.now, h.handleTimer)
+	h.step()
+	h.failExpired()
 	if len(h.demand) > 0 && h.now-h.demandSentAt > demandInterval {
 		h.options.Demand(h.demand)
 		h.demand, h.demandSentAt = nil, h.now
@@ -438,6 +431,40 @@
 	}
 }
 
+// step passes the events to the controller and executes its actions.
+func (h *Host) step() {
+	if len(h.events) == 0 {
+		return
+	}
+	actions := h.controller.Step(h.now, h.events)
+	if h.options.Recorder != nil {
+		h.options.Recorder.Batch(h.now, h.events, actions)
+	}
+	h.stats.Turns++
+	h.stats.Events += uint64(len(h.events))
+	for _, a := range actions {
+		h.execute(a)
+	}
+	h.events = h.events[:0]
+}
+
+// failExpired fails the requests that have expired in this turn and that the controller has not decided on.
+func (h *Host) failExpired() {
+	for i, r := range h.expired {
+		h.expired[i] = nil
+		if r.finished {
+			continue
+		}
+		h.stats.Defects++
+		h.options.Log.Error("the controller made no decision within the client's time; the request failed",
+			"request", r.name, "class", r.Class, "attempts", len(r.attempts))
+		h.addEvent(control.ClientGone{ID: r.name})
+		h.finish(r, Answer{Kind: Failed, Cause: "no decision within the client's time"})
+	}
+	h.expired = h.expired[:0]
+	h.step()
+}
+
 // handleMessage turns a mailbox message into an event.
 func (h *Host) handleMessage(m any) {
 	switch m := m.(type) {
@@ -515,15 +542,7 @@
 		a.req.cause = fmt.Sprintf("node %s gave no answer in time", a.node)
 		h.endAttempt(a, control.Outcome{Result: control.TimedOut}, true)
 	case d.request != nil:
-		r := d.request
-		if r.finished {
-			return
-		}
-		h.stats.Defects++
-		h.options.Log.Error("the controller made no decision within the client's time; the request failed",
-			"request", r.name, "class", r.Class, "attempts", len(r.attempts))
-		h.addEvent(control.ClientGone{ID: r.name})
-		h.finish(r, Answer{Kind: Failed, Cause: "no decision within the client's time"})
+		h.expired = append(h.expired, d.request)
 	default:
 		h.addEvent(control.TimerFired{Token: d.token})
 	}
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -158,6 +158,39 @@
 	}
 }
 
+// TestLateTurn guards against failing a request as undecided in a turn that comes so late that an attempt's timeout and
+// the request's expiry are due at once: the controller learns of the timeout first and decides.
+func TestLateTurn(t *testing.T) {
+	b := newTestHost(t, nil)
+	got, _ := b.submit(500 * ms)
+	b.step(0)
+	if len(b.back.sent) != 1 {
+		t.Fatalf("sent %+v", b.back.sent)
+	}
+	b.step(501 * ms)
+	if len(*got) != 1 || (*got)[0].Kind == Served || b.stats.Defects != 0 {
+		t.Fatalf("%+v, %d answers without a decision", *got, b.stats.Defects)
+	}
+	if !strings.Contains((*got)[0].Cause, "gave no answer") {
+		t.Errorf("cause %q", (*got)[0].Cause)
+	}
+}
+
+// TestLateTurnWithAnswer checks that in such a turn an answer that had been reported in time is passed on, and that the
+// request that has none has exactly one answer of its own.
+func TestLateTurnWithAnswer(t *testing.T) {
+	b := newTestHost(t, nil)
+	got, _ := b.submit(500 * ms)
+	b.step(0)
+	b.now += 100 * ms
+	data := buffer.Get(3)
+	b.AttemptEnded(Outcome{Ref: b.back.sent[0].Ref, Result: control.Done, Data: data})
+	b.step(401 * ms)
+	if len(*got) != 1 || (*got)[0].Kind != Served || (*got)[0].Data != data || b.stats.Defects+b.stats.LateOutcomes != 0 {
+		t.Fatalf("%+v, %+v", *got, b.stats)
+	}
+}
+
 // TestControllerPanic checks that a panic of the controller fails open requests, flushes the recorder and ends the
 // loop.
 func TestControllerPanic(t *testing.T) {
