rsync front: an extent given up for a late retry names its node and is counted

Cause: extentRequest.submit. Pacing plans a retry only if it leaves time; where the timer fires later than planned, StartTry refuses it, and the extent ended with a plain error: without the node's cause, the number of tries, and a count among the refused or failed extents of the transfer. Change: both ways of giving up share giveUp. Test: TestLateRetryNamesTheNode, in explicit time; it failed before ("no time left for another try").

--- a/internal/front/rsync/transfer.go
+++ b/internal/front/rsync/transfer.go
@@ -174,6 +174,7 @@
 	shard         int
 	writer        *writer // nil for a read
 	lastNodeCause string  // cause of the last unsuccessful try that reached a node
+	lastFailed    bool    // the last try failed, and may have been executed
 	onAbandon     func()
 }
 
@@ -309,7 +310,7 @@
 	now := t.front.opt.Host.Now()
 	try, ok := t.pacing.StartTry(p.extent, now)
 	if !ok {
-		p.finish(errors.New("no time left for another try"))
+		p.giveUp("no time left for another try", 0)
 		return
 	}
 	r, err := p.build(try)
@@ -353,6 +354,7 @@
 	if a.Attempts > 0 && kind != pacing.Served {
 		p.lastNodeCause = why
 	}
+	p.lastFailed = kind == pacing.Failed
 	next := t.pacing.TryEnded(p.extent, now, kind, a.RetryAfter)
 	switch next.Step {
 	case pacing.Done:
@@ -364,19 +366,25 @@
 			}
 		})
 	default:
-		if kind == pacing.Refused {
-			t.refused++
-		} else {
-			t.failed++
-		}
-		if p.lastNodeCause != "" && p.lastNodeCause != why {
-			why += "; before: " + p.lastNodeCause
-		}
-		p.finish(&ExtentError{Refused: kind == pacing.Refused, Cause: why, Tries: p.extent.Tries(), RetryAfter: next.RetryAfter})
+		p.giveUp(why, next.RetryAfter)
 	}
 	t.dispatch()
 }
 
+// giveUp ends the request without success. cause says why there is no further try; a node that failed before is named
+// as well.
+func (p *extentRequest) giveUp(cause string, retryAfter time.Duration) {
+	if p.lastFailed {
+		p.transfer.failed++
+	} else {
+		p.transfer.refused++
+	}
+	if p.lastNodeCause != "" && p.lastNodeCause != cause {
+		cause += "; before: " + p.lastNodeCause
+	}
+	p.finish(&ExtentError{Refused: !p.lastFailed, Cause: cause, Tries: p.extent.Tries(), RetryAfter: retryAfter})
+}
+
 // ExtentError reports that an extent was given up. Its text ends with "retry-after=N" in seconds if the
 // time is known.
 type ExtentError struct {
