pacing: an extent requested ahead is not given up before its client needs it

What callers saw: TestClientStopsReading (KNOWN-RED) once: a client that had stopped reading found its file left out, "bytes from 3145728 on: refused after 4 tries: it could not be served in time". Cause, by reading: the reader requests extents ahead of its client. Their tries and their time limit ran while the client did not read; refused during the crowd of the test, their error was kept in reader.fetches, and failed the file when the client went on, however long after. Whether that run failed by this is not shown, as it was not traced: the entry stays in KNOWN-RED. Change: an extent requested ahead keeps its last try, and waits (pacing.Hold) until the session needs it; then it has its whole time limit again. At most four tries in all, as before.

--- a/internal/front/rsync/reader.go
+++ b/internal/front/rsync/reader.go
@@ -98,7 +98,7 @@
 	t, x := r.transfer, r.extents[i]
 	h := &extentFetch{}
 	r.fetches[i] = h
-	h.request = &extentRequest{index: i, bytes: int64(x.Length), class: r.class, needed: needed, shard: x.Shard,
+	h.request = &extentRequest{index: i, bytes: int64(x.Length), class: r.class, needed: needed, prefetch: !needed, shard: x.Shard,
 		build: func(try pacing.Try) (*host.Request, error) {
 			if t.front.opt.ShardLost != nil {
 				if why, back, lost := t.front.opt.ShardLost(x.Shard); lost {
--- a/internal/front/rsync/transfer.go
+++ b/internal/front/rsync/transfer.go
@@ -163,6 +163,8 @@
 	bytes         int64
 	class         string
 	needed        bool // the session is waiting for the extent
+	prefetch      bool // it was requested before the session waited for it
+	onHold        bool // no further try before the session waits for it
 	waitLimited   bool // its wait for the budget has a time limit
 	reserved      bool // its bytes are reserved in the budget
 	requestID     uint64
@@ -195,6 +197,14 @@
 		return
 	}
 	p.needed = true
+	if p.extent != nil {
+		t.pacing.Needed(p.extent, t.front.opt.Host.Now())
+	}
+	if p.onHold {
+		p.onHold = false
+		p.submit()
+		return
+	}
 	for i, q := range t.queue {
 		if q == p {
 			copy(t.queue[1:i+1], t.queue[:i])
@@ -228,6 +238,7 @@
 		}
 		t.queue = t.queue[1:]
 		p.extent = t.pacing.StartExtent(now, p.shard, int(p.bytes), t.front.classes[p.class].Deadline)
+		p.extent.Prefetch = p.prefetch && !p.needed
 		t.inFlight[p] = true
 		p.submit()
 	}
@@ -309,6 +320,10 @@
 	t := p.transfer
 	now := t.front.opt.Host.Now()
 	try, ok := t.pacing.StartTry(p.extent, now)
+	if !ok && t.pacing.MayHold(p.extent) {
+		p.onHold = true
+		return
+	}
 	if !ok {
 		p.giveUp("no time left for another try", 0)
 		return
@@ -359,6 +374,8 @@
 	switch next.Step {
 	case pacing.Done:
 		p.finish(nil)
+	case pacing.Hold:
+		p.onHold = true
 	case pacing.Retry:
 		t.front.after(next.At, t.conn, func() {
 			if !p.finished && !t.ended {
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -77,6 +77,7 @@
 // Extent is the state of one extent of a transfer.
 type Extent struct {
 	Shard     int
+	Prefetch  bool          // the client does not wait for it yet
 	deadline  time.Duration // deadline of its class
 	expiresAt time.Duration // time after which an answer is of no use
 	sentAt    time.Duration
@@ -154,6 +155,7 @@
 	Done   Step = iota
 	Retry       // retry at NextStep.At
 	GiveUp      // abandon the extent: its file is left out
+	Hold        // a prefetch waits for Transfer.Needed
 )
 
 // NextStep is the action that follows a try.
@@ -193,7 +195,11 @@
 	if until, failed := t.failedShards[x.Shard]; failed && now < until {
 		maxTries = 1
 	}
-	if x.tries < maxTries && retryAt+t.settings.MinTryTime <= x.expiresAt {
+	inTime := retryAt+t.settings.MinTryTime <= x.expiresAt
+	switch {
+	case x.Prefetch && maxTries > 1 && x.tries < maxTries && (x.tries == maxTries-1 || !inTime):
+		return NextStep{Step: Hold}
+	case x.tries < maxTries && inTime:
 		return NextStep{Step: Retry, At: retryAt}
 	}
 	if x.Shard >= 0 {
@@ -206,6 +212,19 @@
 	return NextStep{Step: GiveUp, RetryAfter: clientRetryAfter}
 }
 
+// MayHold reports whether an extent for which no time is left can wait until the client needs it. The last try of a
+// prefetch is kept for that: a client that does not read for a while is not to lose its file because extents which it
+// did not need yet were refused meanwhile.
+func (t *Transfer) MayHold(x *Extent) bool { return x.Prefetch && x.tries < t.settings.MaxTries }
+
+// Needed records that the client waits for an extent from now on. The time limit of a prefetch starts anew; its tries
+// do not.
+func (t *Transfer) Needed(x *Extent, now time.Duration) {
+	if x.Prefetch {
+		x.Prefetch, x.expiresAt = false, now+t.extentTimeout
+	}
+}
+
 // TryAbandoned records that the answer to a try is no longer awaited.
 func (t *Transfer) TryAbandoned(*Extent) { t.inFlight-- }
 
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -56,6 +56,49 @@
 	}
 }
 
+// TestPrefetchKeepsItsLastTry guards against giving up an extent for good while its client does not read: a prefetch
+// that is refused again and again waits, and has its last try and its whole time when the client needs it.
+func TestPrefetchKeepsItsLastTry(t *testing.T) {
+	tr := New(Default, 0, 0, 1)
+	x := tr.StartExtent(0, 0, 1, second)
+	x.Prefetch = true
+	at := time.Duration(0)
+	for x.Tries() < Default.MaxTries-1 {
+		if _, ok := tr.StartTry(x, at); !ok {
+			t.Fatalf("no try after %d", x.Tries())
+		}
+		next := tr.TryEnded(x, at, Refused, ms)
+		if last := x.Tries() == Default.MaxTries-1; last != (next.Step == Hold) || !last && next.Step != Retry {
+			t.Fatalf("after try %d: %+v", x.Tries(), next)
+		}
+		at = max(at, next.At)
+	}
+	if !tr.MayHold(x) {
+		t.Fatal("the extent may not wait")
+	}
+	at += time.Minute
+	tr.Needed(x, at)
+	if try, ok := tr.StartTry(x, at); !ok || try.Expires != second || !try.Retry {
+		t.Fatalf("the last try: %+v %v", try, ok)
+	}
+	if next := tr.TryEnded(x, at, Refused, ms); next.Step != GiveUp || x.Tries() != Default.MaxTries || tr.MayHold(x) {
+		t.Fatalf("after the last try: %+v, %d tries", next, x.Tries())
+	}
+}
+
+// TestPrefetchOfFailedShard checks that a prefetch from a shard that has just failed is given up after one try, as any
+// other extent.
+func TestPrefetchOfFailedShard(t *testing.T) {
+	tr := New(Default, 0, 0, 1)
+	tr.failedShards[7] = time.Minute
+	x := tr.StartExtent(0, 7, 1, second)
+	x.Prefetch = true
+	tr.StartTry(x, 0)
+	if next := tr.TryEnded(x, 0, Failed, 0); next.Step != GiveUp {
+		t.Fatalf("%+v", next)
+	}
+}
+
 // TestRetriesOfTransfersAreSpread checks that a thousand transfers that are refused at the same moment spread their
 // second tries over at least a quarter of a second.
 func TestRetriesOfTransfersAreSpread(t *testing.T) {
