--- a/membership/scheduler_test.go
+++ b/membership/scheduler_test.go
@@ -248,8 +248,13 @@
 	}
 }
 
-// TestRetryRate checks that an agent which ends each watch at once gets only a few requests a second.
-func TestRetryRate(t *testing.T) {
+// TestSlowAgent checks that a slow agent gets through in the end, and that an agent which ends each watch at once gets
+// only a few requests a second.
+func TestSlowAgent(t *testing.T) {
+	slow := func(time.Duration, bool) (bool, time.Duration) { return true, 3 * time.Second }
+	if succeeded, _ := simulate(NewScheduler(DefaultTiming, false), slow, 0, time.Minute); len(succeeded) == 0 {
+		t.Error("no trial succeeded")
+	}
 	k, now, tries := NewScheduler(DefaultTiming, false), time.Duration(0), 0
 	for now < 10*time.Second {
 		if s := k.Next(now); s.Kind == OpenWatch {
--- a/membership/slow_agent_test.go
+++ b/membership/slow_agent_test.go
@@ -9,19 +9,24 @@
 const (
 	drainGrace = 2 * time.Second        // of the platform's settings
 	slack      = 200 * time.Millisecond // of the grace, for sockets and a host that is held up
-	stepOfTest = 113 * time.Millisecond // between the delays and lengths that are tried; no divisor of the intervals
+	delayStep  = 113 * time.Millisecond // between the delays that are tried; no divisor of the scheduler's intervals
+
+	silenceNoticed = 2500 * time.Millisecond // discovery sends an empty line every 2 s
+	coveredDelay   = 5900 * time.Millisecond // an answer after UpdateDeadline is late whenever it was asked for
 )
 
-// dueBy returns the time by which a change must be applied, after an event that makes it binding within a time: nodes
-// that drain must not be sent anything from then on. An answer that takes so long that not even a request at that very
-// moment would meet the deadline is given the grace as well.
+// dueBy returns the time by which a change must be applied, after an event that makes it binding within a deadline. An
+// answer that comes up to a second before the deadline, if it was asked for at once, may use the grace as well.
 func dueBy(deadline, earliest time.Duration) time.Duration {
-	if earliest <= deadline-DefaultTiming.TrialInterval {
+	if earliest <= deadline-time.Second {
 		return deadline
 	}
-	return deadline + drainGrace - slack
+	return latest(deadline)
 }
 
+// latest returns the time after which nothing may be sent to a node that drains.
+func latest(deadline time.Duration) time.Duration { return deadline + drainGrace - slack }
+
 // answersAfter returns an agent that answers each request after a delay.
 func answersAfter(delay time.Duration) fakeAgent {
 	return func(time.Duration, bool) (bool, time.Duration) { return true, delay }
@@ -29,7 +34,7 @@
 
 // delays returns the delays of answers that the deadline covers.
 func delays() (list []time.Duration) {
-	for d := time.Millisecond; d < DefaultTiming.TrialTimeout; d += stepOfTest {
+	for d := time.Millisecond; d < coveredDelay; d += delayStep {
 		list = append(list, d)
 	}
 	return list
@@ -62,7 +67,7 @@
 	}
 	for name, fails := range during {
 		t.Run(name, func(t *testing.T) {
-			for outage := stepOfTest; outage < 40*time.Second; outage += 3 * stepOfTest {
+			for outage := delayStep; outage < 40*time.Second; outage += 3 * delayStep {
 				for _, delay := range delays() {
 					succeeded, _ := simulate(NewScheduler(DefaultTiming, false), func(now time.Duration, _ bool) (bool, time.Duration) {
 						if now < outage {
@@ -72,7 +77,7 @@
 					}, 0, outage+time.Minute)
 					due := dueBy(UpdateDeadline, delay)
 					if delay == time.Millisecond {
-						due = drainGrace // what the agent has at its return is binding at once
+						due = latest(0) // what the agent has at its return is binding at once
 					}
 					if len(succeeded) == 0 || succeeded[0]-outage > due {
 						t.Fatalf("outage of %v, answers after %v: heard at %v, due %v after the outage", outage, delay, succeeded, due)
@@ -87,11 +92,10 @@
 // requests of a host, from accepting another one after an outage.
 func TestCrowdedAgentAfterOutage(t *testing.T) {
 	for limit := 1; limit <= 4; limit++ {
-		for outage := stepOfTest; outage < 40*time.Second; outage += 3 * stepOfTest {
+		for outage := delayStep; outage < 40*time.Second; outage += 3 * delayStep {
 			for _, delay := range delays() {
-				needed := DefaultTiming.RefusedTimeout + DefaultTiming.MaxRetryDelay + delay
-				if needed > UpdateDeadline+drainGrace-slack || delay >= DefaultTiming.RefusedTimeout {
-					break // the agent would have to be asked anew before it could answer
+				if delay > 3*time.Second {
+					break // a dead request and a slow one, one after the other, need more than the deadline and the grace
 				}
 				var s *simulation
 				s = newSimulation(NewScheduler(DefaultTiming, false), func(now time.Duration, _ bool) (bool, time.Duration) {
@@ -104,7 +108,7 @@
 					return true, delay
 				}, 0)
 				s.run(outage + time.Minute)
-				if len(s.succeeded) == 0 || s.succeeded[0]-outage > dueBy(UpdateDeadline, needed) {
+				if len(s.succeeded) == 0 || s.succeeded[0]-outage > dueBy(UpdateDeadline, 4*time.Second+delay) {
 					t.Fatalf("at most %d requests, outage of %v, answers after %v: heard at %v", limit, outage, delay, s.succeeded)
 				}
 			}
@@ -139,9 +143,9 @@
 func TestSlowAgentAfterSilence(t *testing.T) {
 	for lost := range 2 {
 		for _, delay := range delays() {
-			needed := DefaultTiming.SilenceTimeout + time.Duration(lost)*DefaultTiming.TrialInterval + delay
-			if needed > UpdateDeadline+drainGrace-slack {
-				continue // a silent watch is not known to be silent earlier
+			earliest := silenceNoticed + time.Duration(lost)*time.Second + delay
+			if earliest > latest(UpdateDeadline) {
+				continue // no request is made before the silence is noticed, and a lost one costs up to a second
 			}
 			k := NewScheduler(DefaultTiming, false)
 			simulate(k, answersAfter(time.Millisecond), 0, time.Second)
@@ -151,7 +155,7 @@
 				n++
 				return n > lost, map[bool]time.Duration{true: delay}[n > lost]
 			}, silent, silent+time.Minute)
-			if len(succeeded) == 0 || succeeded[0]-silent > dueBy(UpdateDeadline, needed) {
+			if len(succeeded) == 0 || succeeded[0]-silent > dueBy(UpdateDeadline, earliest) {
 				t.Errorf("%d lost, answers after %v: heard at %v, silent since %v", lost, delay, succeeded, silent)
 			}
 		}
@@ -163,7 +167,7 @@
 func TestSlowAgentAtNewAddress(t *testing.T) {
 	const deadline = 4 * time.Second // after the new configuration (the platform's standing test)
 	for _, delay := range delays() {
-		if delay > deadline+drainGrace-slack {
+		if delay > latest(deadline) {
 			continue // not even the first request could be answered in time
 		}
 		for _, change := range []time.Duration{time.Millisecond, 400 * time.Millisecond, 1100 * time.Millisecond, 30 * time.Second} {
