membership: a request to discovery stays open past the whole 6 s of the deadline

What callers would see: an agent that answers after 5.95 to 6 s is heard 30 s after an outage, where 6 s and the grace are allowed. Found by the test with every delay up to the deadline itself, which had stopped at 5.9 s. Cause: TrialTimeout was 5.95 s, 50 ms short of the deadline; only the oldest request stays open longer, and that one is dead. Test: TestSlowAgentAfterOutage, for delays up to 6 s; before, "outage of 113ms, answers after 5.99s: heard at 30.64s, due 7.8s".

--- a/membership/scheduler.go
+++ b/membership/scheduler.go
@@ -23,8 +23,8 @@
 }
 
 // DefaultTiming is the timing used on the platform. What the agent has is binding as soon as it is reachable, hence
-// the short TrialInterval; an object that takes longer than UpdateDeadline is late in any case, hence TrialTimeout.
-var DefaultTiming = Timing{SilenceTimeout: 2500 * time.Millisecond, TrialInterval: trialInterval, TrialTimeout: 7 * trialInterval,
+// the short TrialInterval; an object that takes longer than UpdateDeadline is late in any case: TrialTimeout exceeds it.
+var DefaultTiming = Timing{SilenceTimeout: 2500 * time.Millisecond, TrialInterval: trialInterval, TrialTimeout: 8 * trialInterval,
 	OldestTrialTimeout: 30 * time.Second, RefusedTimeout: 3500 * time.Millisecond, MinRetryDelay: 20 * time.Millisecond,
 	MaxRetryDelay: 250 * time.Millisecond, KnownListDelay: 1500 * time.Millisecond}
 
@@ -32,7 +32,7 @@
 	trialInterval = 850 * time.Millisecond
 
 	// MaxTrials is the maximum number of open trials: TrialTimeout / TrialInterval, and the oldest one.
-	MaxTrials = 8
+	MaxTrials = 9
 
 	maxBackoffDoublings = 10 // avoids an overflow of the retry delay
 )
--- a/membership/slow_agent_test.go
+++ b/membership/slow_agent_test.go
@@ -12,7 +12,6 @@
 	delayStep  = 113 * time.Millisecond // between the delays that are tried; no divisor of the scheduler's intervals
 
 	silenceNoticed = 2500 * time.Millisecond // discovery sends an empty line every 2 s
-	coveredDelay   = 5900 * time.Millisecond // an answer after UpdateDeadline is late whenever it was asked for
 )
 
 // dueBy returns the time by which a change must be applied, after an event that makes it binding within a deadline. An
@@ -34,10 +33,10 @@
 
 // delays returns the delays of answers that the deadline covers.
 func delays() (list []time.Duration) {
-	for d := time.Millisecond; d < coveredDelay; d += delayStep {
+	for d := time.Millisecond; d < UpdateDeadline; d += delayStep {
 		list = append(list, d)
 	}
-	return list
+	return append(list, UpdateDeadline-time.Millisecond, UpdateDeadline)
 }
 
 // TestSlowAgentAtStart guards against a host that gives up each request before a slow agent answers it, and so follows
