Review case 7: the id of an open request is accepted behind others, and a write runs twice

Cause: the front compares the id of a request with the open ones only when its turn comes on its connection.

Change: the case. Nothing is fixed.

--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,12 +1,15 @@
-// Command 7 shows that requests of the usual clients get their final answer too late while other clients open
-// connections by the hundred and say nothing: the requests wait in the listen queue of the host's machine.
+// Command 7 shows that the id of another client's open request is accepted when the request that bears it comes behind
+// others of the bad client on the same connection: the id is compared with the open ones only when its turn comes. The
+// node then runs a write a second time that must not run twice.
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"math/rand"
 	"net"
-	"strconv"
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,107 +17,137 @@
 )
 
 const (
-	length    = 45 * time.Second
-	rate      = 40.0                   // requests a second of the usual clients; the pages: up to 200 for a host
-	shards    = 8                      // one node each
-	shortest  = 240 * time.Millisecond // the time of a request: from the example of the wire page
-	longest   = 480 * time.Millisecond // to the example of the protocol page
-	patience  = 3 * time.Second        // that the clients listen for, to see a late answer
-	answerBy  = 500 * time.Millisecond // after its time, an answer only earns nothing; later the request is lost
-	slack     = 50 * time.Millisecond  // of each time limit
-	silent    = 400                    // connections of the clients that say nothing, at a time
-	silentFor = 4 * time.Second        // until they leave, unless the host closes them before
-	pause     = 8 * time.Second        // from one time to the next
+	length    = 25 * time.Second
+	every     = 500 * time.Millisecond
+	rate      = 60.0                  // requests a second beside those
+	readTime  = 20 * time.Millisecond // that a node takes for a read
+	writeTime = 30 * time.Millisecond // that a node takes for a write
+	copyAfter = 8 * time.Millisecond  // from the usual client's write to the bad client's copy of it
+	ahead     = 10                    // reads that the bad client sends with the copy, in front of it
 )
 
 func main() {
 	c := stand2.Start()
 	list := stand2.Change{Rev: 41}
 	var mu sync.Mutex
-	ran := map[string]string{} // by id: what the node was told, and when
-	for shard := range shards {
+	runs := map[string]int{} // by request id
+	for shard := range 8 {
 		list.Targets = append(list.Targets, c.StartNode(fmt.Sprintf("s-%08x", shard+1), shard, 0,
 			func(nc *stand2.NodeConn, r *stand2.Request) {
-				told, _ := strconv.Atoi(r.Header["request-timeout-ms"])
 				mu.Lock()
-				ran[r.ID()] = fmt.Sprintf("at %.4f, told %d ms", time.Since(c.Began).Seconds(), told)
+				runs[r.ID()]++
+				n := runs[r.ID()]
 				mu.Unlock()
-				time.Sleep(20 * time.Millisecond)
-				nc.Write(stand2.Answer(200, "", []byte("data for "+r.ID())))
-				c.Log("node %d ran %s, told %d ms", shard, r.ID(), told)
+				c.Log("node %d runs %s %s %s, time %d", shard, r.Method, r.Path, r.ID(), n)
+				if r.Method == "PUT" {
+					time.Sleep(writeTime)
+				} else {
+					time.Sleep(readTime)
+				}
+				nc.Write(stand2.Answer(200, "", []byte("done for "+r.ID())))
 			}).Target)
 	}
 	agent := c.StartAgent(list)
-	limits := stand2.Limits()
-	host := c.StartHost("n0", c.FreeAddress(), agent.Addr, stand2.Settings(1), limits, stand2.Known(list))
+	settings := stand2.Settings(1)
+	settings["classes"].([]any)[1].(map[string]any)["effect"] = "fragile" // record-write
+	host := c.StartHost("n0", c.FreeAddress(), agent.Addr, settings, stand2.Limits(), stand2.Known(list))
 	client := &stand2.Client{Addr: host.Listen}
-	end := time.Now().Add(length)
-	if c.Trouble {
-		go func() {
-			for time.Sleep(pause / 2); time.Now().Before(end); time.Sleep(pause) {
-				c.Log("%d connections are opened that say nothing", silent)
-				for range silent {
-					go stayOpen(host.Listen)
-				}
-			}
-		}()
+	newCall := func(class string, shard int) *stand2.Call {
+		k := &stand2.Call{ID: fmt.Sprintf("%016x", rand.Uint64()), Class: class, Plan: "standard", Volume: fmt.Sprintf("%016x", shard+1),
+			Item: fmt.Sprintf("%016x", rand.Uint64()), Shard: shard, Units: 1, Timeout: time.Second}
+		if class == "record-write" {
+			k.Body = []byte("record")
+		}
+		return k
 	}
 	var wg sync.WaitGroup
-	sent, inTime, shut, lost, waiting, most := 0, 0, 0, 0, 0, 0
-	worst := time.Duration(0)
-	for time.Now().Before(end) {
-		time.Sleep(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
-		shard := rand.Intn(shards)
-		k := &stand2.Call{ID: fmt.Sprintf("%016x", rand.Uint64()), Class: "record-read", Plan: "standard", Volume: fmt.Sprintf("%016x", shard+1),
-			Item: fmt.Sprintf("%016x", rand.Uint64()), Shard: shard, Units: 1, Patience: patience,
-			Timeout: shortest + time.Duration(rand.Int63n(int64(longest-shortest)))}
+	sent, served, broken, copies := 0, 0, 0, 0
+	end := time.Now().Add(length)
+	wg.Add(1)
+	go func() { // the other usual clients
+		defer wg.Done()
+		for time.Now().Before(end) {
+			time.Sleep(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
+			k := newCall([]string{"record-read", "record-write"}[rand.Intn(2)], rand.Intn(8))
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				client.Do(k)
+				c.Log("client: %s: status %d", k.ID, k.Status)
+			}()
+		}
+	}()
+	for time.Sleep(2 * time.Second); time.Now().Before(end); time.Sleep(every) {
+		write := newCall("record-write", rand.Intn(8))
+		id, copyOfIt, answered := write.ID, string(write.Text()), make(chan bool)
 		sent++
-		mu.Lock()
-		waiting++
-		most = max(most, waiting)
-		mu.Unlock()
-		wg.Add(1)
-		go func() {
+		wg.Add(2)
+		go func() { // a usual client
+			defer wg.Done()
+			client.Do(write)
+			close(answered)
+		}()
+		go func() { // the bad client
 			defer wg.Done()
-			client.Do(k)
+			time.Sleep(copyAfter)
+			text := ""
+			for range ahead {
+				text += string(newCall("record-read", rand.Intn(8)).Text())
+			}
+			if !c.Trouble {
+				own := newCall("record-write", rand.Intn(8))
+				id, copyOfIt = own.ID, string(own.Text())
+			}
+			c.Log("bad client: sends %d reads and %s at once", ahead, id)
+			copied, statuses := exchange(host.Listen, text+copyOfIt)
+			c.Log("bad client: sent them at %.4f: statuses %v", copied.Sub(c.Began).Seconds(), statuses)
+			<-answered
+			c.Log("client: %s sent at %.4f: status %d at %.4f", write.ID, write.SentAt.Sub(c.Began).Seconds(), write.Status,
+				write.EndedAt.Sub(c.Began).Seconds())
 			mu.Lock()
 			defer mu.Unlock()
-			waiting--
-			took := k.EndedAt.Sub(k.SentAt)
-			c.Log("client: %s sent at %.4f: status %d after %v, first on its connection %v, closed without a byte %v, %v",
-				k.ID, k.SentAt.Sub(c.Began).Seconds(), k.Status, took, k.First, k.Silent, k.Err)
-			switch {
-			case k.Status != 0 && took <= k.Timeout+answerBy+slack:
-				inTime++
-			case k.Status == 0 && k.Silent: // it may be shut unread, and then it has failed
-				shut++
-			default:
-				lost++
-				worst = max(worst, took)
-				c.Log("BROKEN: %s had its final answer (status %d) %v after it was sent, its time being %v; at the node: %s",
-					k.ID, k.Status, took, k.Timeout, ran[k.ID])
+			if write.Status == 200 {
+				served++
+			}
+			if !c.Trouble || copied.Before(write.SentAt) || copied.After(write.EndedAt) {
+				return
+			}
+			copies++ // sent while the write was open
+			if runs[write.ID] > 1 {
+				broken++
+				c.Log("BROKEN: %s ran %d times", write.ID, runs[write.ID])
 			}
 		}()
 	}
 	wg.Wait()
-	text := fmt.Sprintf("%d requests, at most %d at a time, %d answered in time, %d shut unread, %d lost (the latest answer after %v)",
-		sent, most, inTime, shut, lost, worst)
+	text := fmt.Sprintf("%d writes, %d served, %d copies of open ones sent by the bad client, %d writes ran twice", sent, served, copies, broken)
 	switch {
-	case most > limits["sockets"].(int)/3: // the usual clients hold at most a third of the descriptors
-		c.End(stand2.NotRun, text)
-	case lost > 0:
+	case broken > 0:
 		c.End(stand2.Broken, text)
+	case served < sent/2 || c.Trouble && copies == 0:
+		c.End(stand2.NotRun, text)
 	}
 	c.End(stand2.Held, text)
 }
 
-// stayOpen opens a connection, sends nothing, and leaves when the host closes it or after silentFor.
-func stayOpen(addr string) {
-	conn, err := net.DialTimeout("tcp", addr, silentFor)
+// exchange sends requests at once on a connection of its own and returns the statuses of the answers.
+// They are written at the time sent.
+func exchange(addr, text string) (sent time.Time, statuses []int) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
-		return
+		return sent, nil
 	}
 	defer conn.Close()
-	_ = conn.SetReadDeadline(time.Now().Add(silentFor))
-	_, _ = conn.Read(make([]byte, 1))
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	_, _ = io.WriteString(conn, text)
+	sent = time.Now()
+	for r := bufio.NewReader(conn); len(statuses) <= ahead; {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			break
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		statuses = append(statuses, resp.StatusCode)
+	}
+	return sent, statuses
 }
