live: the benchmark of a request gives each one its own id and reports CPU time

Cause: BenchmarkRequest sent every request of a connection under one Request-Id, which no client of the protocol does: every request gets a new id.

--- a/internal/live/bench_test.go
+++ b/internal/live/bench_test.go
@@ -3,17 +3,21 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 	"log/slog"
 	"net"
 	"runtime"
+	"syscall"
 	"testing"
 
 	"eiderhold/internal/standin"
 )
 
 // BenchmarkRequest sends reads one after another through a complete host, with client and node on loopback. Both use
-// plain sockets without allocations, so that the allocations reported are the host's.
+// plain sockets without allocations, so that the allocations reported are the host's. The CPU time reported is that of
+// the whole process.
 func BenchmarkRequest(b *testing.B) {
 	for _, clients := range []int{1, 64} {
 		b.Run(fmt.Sprint("clients=", clients), func(b *testing.B) { benchmark(b, clients) })
@@ -67,6 +71,7 @@
 	left := make(chan bool, clients)
 	b.ReportAllocs()
 	b.ResetTimer()
+	cpuBefore := cpuTime(b)
 	for i := range clients {
 		go func() {
 			if err := sendRequests(l.Addr(), i, b.N/clients+1); err != nil {
@@ -78,9 +83,19 @@
 	for range clients {
 		<-left
 	}
+	b.ReportMetric(float64(cpuTime(b)-cpuBefore)/float64(b.N), "cpu-ns/op")
 }
 
-// sendRequests sends a number of requests on one connection, one at a time.
+// cpuTime returns the CPU time of this process, in nanoseconds.
+func cpuTime(b *testing.B) int64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return usage.Utime.Nano() + usage.Stime.Nano()
+}
+
+// sendRequests sends a number of requests on one connection, one at a time, each with an id of its own.
 func sendRequests(addr string, client, times int) error {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -90,7 +105,11 @@
 	r := bufio.NewReader(c)
 	request := fmt.Appendf(nil, "GET /api/%s/%s HTTP/1.1\r\nHost: o\r\nRequest-Id: %s\r\nRequest-Class: read\r\nX-Storage-Class: gold\r\n"+
 		"Request-Timeout-Ms: 9000\r\nX-Extent: units=2,shard=0,hosts=1\r\n\r\n", id(client%7), id(client), id(client))
-	for range times {
+	requestID := request[bytes.Index(request, []byte("Request-Id: "))+len("Request-Id: "):]
+	var number [8]byte
+	for i := range times {
+		binary.BigEndian.PutUint64(number[:], uint64(client)<<32|uint64(i))
+		hex.Encode(requestID, number[:])
 		if _, err := c.Write(request); err != nil {
 			return err
 		}
