front/http: a copy of another client's open request is refused whenever its turn comes

Cause: submit compared a request's id with those of open requests only, when its turn on its connection came, and requestDone forgot an id as its request ended. A copy that came while the request was open was not compared with it if it waited, was incomplete, or was still unread by then.

The same copy sent alone got 409. A copy sent alone in the moment of the answer was forwarded too (TestDuplicateInSameTurn on the code before).

Change: package requestid decides; it has no I/O and no clock. An id is used from when its request is taken and remembered for at least 6 s after the end, in two generations. It is forgotten only in a step that discards all input which was received and not taken while the id was in use, so the length of the wait does not matter. An id counts by value, not by the case of its digits. Only taken requests leave their id: one that crosses a close and is sent again is served. stats front.Duplicate counts refusals.

Two changes of tests: TestIdleClientsYieldPlaces sent three ids of the requests before once more; they are new now, as clients' are. TestChurnKeepsNoState reads the number of open ids from the tracker; its bound on memory is unchanged and now covers the ids remembered as well.

Seen to fail before: TestDuplicateBehindRequests, BeforeOwner, InPieces, AfterEnd, InSameTurn, OnSameConnection, OfUntaken, TestRequestCrossesClose (its check of the copy), TestDuplicateWriteRunsOnce. TestNeverTwice failed with each of four lines of the package broken in turn (one of them only with 5,000 draws).

--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -23,6 +23,7 @@
 	"eiderhold/internal/http1"
 	"eiderhold/internal/loop"
 	"eiderhold/limits"
+	"eiderhold/requestid"
 )
 
 const (
@@ -67,7 +68,7 @@
 
 	// The remaining fields are accessed only on the loop.
 	conns         map[*conn]bool
-	openRequests  map[string]*conn // by Request-Id
+	ids           requestid.Tracker
 	heldBytes     int64
 	keepAlive     bool
 	draining      bool
@@ -76,17 +77,18 @@
 }
 
 // Stats are counters since the start; Conns, Open and Held are current values. Accepted counts connections, Wrong
-// requests rejected by the front, Late those of them that did not arrive in time, Left open requests whose clients
-// have gone, and Evicted connections that were idle too long or made room for others.
+// requests rejected by the front, Late those of them that did not arrive in time, Duplicate requests with the id of
+// another one, Left open requests whose clients have gone, and Evicted connections that were idle too long or made room
+// for others.
 type Stats struct {
-	Accepted, Requests, Served, Refused, Failed, Wrong, Left, Evicted, Late uint64
-	Conns, Open                                                             int
-	Held                                                                    int64
+	Accepted, Requests, Served, Refused, Failed, Wrong, Left, Evicted, Late, Duplicate uint64
+	Conns, Open                                                                        int
+	Held                                                                               int64
 }
 
 // Start listens on the configured address and serves clients.
 func Start(opt Options) (*Front, error) {
-	f := &Front{opt: opt, rules: newRules(opt.Settings), conns: map[*conn]bool{}, openRequests: map[string]*conn{}}
+	f := &Front{opt: opt, rules: newRules(opt.Settings), conns: map[*conn]bool{}}
 	f.changed = sync.NewCond(&f.mu)
 	var err error
 	for until := time.Now().Add(bindTimeout); ; time.Sleep(20 * time.Millisecond) {
@@ -112,7 +114,7 @@
 func (f *Front) Stats(fn func(Stats)) {
 	f.opt.Loop.Post(func() {
 		s := f.stats
-		s.Conns, s.Open, s.Held = len(f.conns), len(f.openRequests), f.heldBytes
+		s.Conns, s.Open, s.Held = len(f.conns), f.ids.Open(), f.heldBytes
 		fn(s)
 	})
 }
@@ -196,11 +198,33 @@
 	if used >= limit {
 		f.evictIfFull()
 	}
+	f.rotateIDs()
 	f.mu.Lock()
 	f.changed.Broadcast() // accept checks the limit again
 	f.mu.Unlock()
 }
 
+// rotateIDs forgets the ids of requests that ended long ago. Input that arrived while such an id was in use is
+// discarded, as a request in it could not be compared with that id any more.
+func (f *Front) rotateIDs() {
+	now := f.opt.Host.Now()
+	if !f.ids.RotationDue(now) {
+		return
+	}
+	for c := range f.conns {
+		if !c.inputAge.Rotate(len(c.buf), c.headParsed) || c.closing {
+			continue
+		}
+		if c.req != nil || c.flushing {
+			c.discardInput()
+		} else {
+			f.stats.Late++
+			c.reject(408, "the request did not come in time")
+		}
+	}
+	f.ids.Rotate(now)
+}
+
 // evictIfFull closes the connection with the highest eviction rank if all places are in use.
 func (f *Front) evictIfFull() {
 	if used, limit := f.usage(); used < limit {
@@ -323,7 +347,9 @@
 	messageLen int                 // bytes of head and body together
 	chunks     *http1.ChunkDecoder // decodes the body, where it is chunked; nil: it has a length
 	chunkData  []byte              // the body as decoded so far
+	inputAge   requestid.InputAge  // of the bytes in buf and of the present request
 	req        *host.Request       // open at the host; nil: none
+	requestID  requestid.ID        // of req
 	hostID     uint64              // of req, as returned by Submit
 	bodyBytes  int                 // bytes of req's body, counted as held until its answer
 	closeAfter bool                // the connection closes after the next answer
@@ -391,13 +417,31 @@
 func (f *Front) discardBuffered(c *conn) {
 	f.heldBytes -= int64(c.bufferedBytes())
 	c.buf, c.chunkData, c.chunks = nil, nil, nil
+	c.inputAge = requestid.InputAge{}
+}
+
+// discardInput discards what is received behind the open request, or behind its answer while that is being written,
+// and closes the connection after the answer.
+func (c *conn) discardInput() {
+	c.f.discardBuffered(c)
+	c.discarding, c.closeAfter = true, true
+}
+
+// consume removes n bytes from the start of buf.
+func (c *conn) consume(n int) {
+	c.buf = c.buf[:copy(c.buf, c.buf[n:])]
+	c.f.heldBytes -= int64(n)
+	c.inputAge.Consume(n)
 }
 
 // requestDone removes the open request.
 func (c *conn) requestDone() {
-	delete(c.f.openRequests, c.req.Message.ID)
+	c.f.ids.End(c.requestID)
 	c.f.heldBytes -= int64(c.bodyBytes)
 	c.req, c.bodyBytes = nil, 0
+	if c.f.ids.Full() {
+		c.f.opt.Loop.Post(c.f.rotateIDs)
+	}
 }
 
 // Traffic reads bytes from the client. While a request is open, up to one further request is buffered. If the
@@ -416,8 +460,7 @@
 	busy := c.req != nil || c.flushing
 	short := !c.f.reclaimBytes(c, len(p))
 	if busy && (short || len(c.buf)+len(p) > maxBufferedBytes) {
-		c.f.discardBuffered(c)
-		c.discarding, c.closeAfter = true, true
+		c.discardInput()
 		return gnet.None
 	}
 	if short {
@@ -435,9 +478,8 @@
 	for c.req == nil && !c.flushing && !c.closing && !c.closed && len(c.buf) > 0 {
 		if !c.headParsed {
 			if n := http1.LeadingEmptyLines(c.buf); n > 0 {
-				c.f.heldBytes -= int64(n)
 				c.scanned = 0
-				if c.buf = c.buf[:copy(c.buf, c.buf[n:])]; len(c.buf) == 0 {
+				if c.consume(n); len(c.buf) == 0 {
 					return
 				}
 			}
@@ -473,10 +515,11 @@
 // decodeChunks moves the data of a chunked body from buf to chunkData. done reports that the body is complete; buf
 // then holds what follows it.
 func (c *conn) decodeChunks() (done bool, err error) {
-	before := len(c.buf) + len(c.chunkData)
+	before := len(c.chunkData)
 	data, rest, done, err := c.chunks.Feed(c.chunkData, c.buf)
-	c.chunkData, c.buf = data, c.buf[:copy(c.buf, rest)]
-	c.f.heldBytes += int64(len(c.buf) + len(c.chunkData) - before)
+	c.chunkData = data
+	c.f.heldBytes += int64(len(data) - before)
+	c.consume(len(c.buf) - len(rest))
 	return done, err
 }
 
@@ -487,6 +530,7 @@
 	}
 	c.closeAfter = h.Close
 	c.headParsed = true
+	c.inputAge.Begin()
 	switch {
 	case !isHealthCheck(h):
 		r, err := c.f.rules.parse(h)
@@ -500,8 +544,7 @@
 	expects := h.Minor > 0 && http1.ExpectsContinue(h.Header) && len(c.buf) == n
 	if h.Body.Chunked {
 		c.chunks = &http1.ChunkDecoder{Max: http1.MaxBody}
-		c.f.heldBytes -= int64(n)
-		c.buf = c.buf[:copy(c.buf, c.buf[n:])]
+		c.consume(n)
 	} else {
 		c.headLen, c.messageLen = n, n+int(h.Body.Length)
 		expects = expects && h.Body.Length > 0
@@ -517,9 +560,9 @@
 	f, r, body := c.f, c.pending, c.chunkData
 	if c.chunks == nil {
 		body = append([]byte(nil), c.buf[c.headLen:c.messageLen]...)
-		c.buf = c.buf[:copy(c.buf, c.buf[c.messageLen:])]
-		f.heldBytes -= int64(c.messageLen)
+		c.consume(c.messageLen)
 	}
+	c.inputAge.Complete()
 	f.heldBytes -= int64(len(c.chunkData))
 	c.chunks, c.chunkData = nil, nil
 	if len(c.buf) == 0 {
@@ -537,8 +580,10 @@
 		c.respond(status, "", nil)
 		return
 	}
-	if f.openRequests[r.Message.ID] != nil {
-		c.respond(409, "", []byte("Request-Id: a request with it is open\n"))
+	requestID, _ := requestid.Parse(r.Message.ID) // valid: rules.parse has checked it
+	if !f.ids.Take(requestID) {
+		f.stats.Duplicate++
+		c.respond(409, "", []byte("Request-Id: another request has used it\n"))
 		return
 	}
 	if f.deadlineLimit > 0 {
@@ -548,13 +593,13 @@
 	r.Answer = func(a host.Answer) { f.opt.Loop.Post(func() { c.deliver(r, a) }) }
 	id, err := f.opt.Host.Submit(r)
 	if err != nil { // nothing has run, so the client may retry
+		f.ids.EndUntaken(requestID)
 		f.stats.Refused++
 		c.respond(503, formatRetryAfter(limits.RetryDelay), []byte(err.Error()+"\n"))
 		return
 	}
-	c.req, c.hostID, c.bodyBytes = r, id, len(r.Message.Body)
+	c.req, c.requestID, c.hostID, c.bodyBytes = r, requestID, id, len(r.Message.Body)
 	f.heldBytes += int64(c.bodyBytes)
-	f.openRequests[r.Message.ID] = c
 }
 
 // deliver writes the host's final answer to the client.
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -734,7 +734,7 @@
 	r.KeepAlive() // during shutdown connections stay open
 	c := r.dial()
 	for i := range 3 {
-		c.send(get(id(i)))
+		c.send(get(id(200 + i)))
 		if s, _, h := c.answer(); s != 200 || h.Get("Connection") == "close" {
 			t.Fatalf("while the host ends: %d, %v", s, h)
 		}
@@ -868,7 +868,7 @@
 		t.Errorf("%d bytes more in the second half", grown)
 	}
 	got := make(chan int)
-	r.opt.Loop.Post(func() { got <- len(r.conns) + len(r.openRequests) })
+	r.opt.Loop.Post(func() { got <- len(r.conns) + r.ids.Open() })
 	if n := <-got; n != 0 {
 		t.Fatalf("%d entries remain", n)
 	}
--- a/internal/live/live_test.go
+++ b/internal/live/live_test.go
@@ -162,8 +162,13 @@
 
 // read sends a read with the given timeout on its own connection and returns the answer.
 func (r *testServer) read(n, shard int, within time.Duration) string {
-	return r.roundTrip(fmt.Sprintf("GET /api/%s/%s HTTP/1.1\r\nHost: o\r\nRequest-Id: %s\r\nRequest-Class: read\r\nX-Storage-Class: gold\r\n"+
-		"Request-Timeout-Ms: %d\r\nX-Extent: units=2,shard=%d,hosts=1\r\n\r\n", id(n%7), id(n), id(n), within.Milliseconds(), shard))
+	return r.roundTrip(readText(n, shard, within))
+}
+
+// readText returns a read as sent.
+func readText(n, shard int, within time.Duration) string {
+	return fmt.Sprintf("GET /api/%s/%s HTTP/1.1\r\nHost: o\r\nRequest-Id: %s\r\nRequest-Class: read\r\nX-Storage-Class: gold\r\n"+
+		"Request-Timeout-Ms: %d\r\nX-Extent: units=2,shard=%d,hosts=1\r\n\r\n", id(n%7), id(n), id(n), within.Milliseconds(), shard)
 }
 
 // roundTrip sends a request on its own connection and returns the status and body of the answer, or an error's text.
