front/http: a chunked request that arrives slowly is late like any other

What callers saw: a client that had sent a request before and then sent a chunked one piece by piece, one each second say, never got the 408 that is due 2 s after a request has begun. It kept its place and up to 1 MiB, and its request could complete at any later time.

Cause: Traffic takes the time at which a request begins when the buffer is empty. The bytes of a chunked body leave the buffer as they are decoded, so that every further piece began the time anew.

Change: the time is taken only if no chunked body is being read.

TestSlowChunksTimeOut failed before: no answer 5 s after the request began.

--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -454,7 +454,7 @@
 	if c.discarding {
 		return gnet.None
 	}
-	if len(c.buf) == 0 && c.req == nil && !c.flushing {
+	if len(c.buf) == 0 && c.chunks == nil && c.req == nil && !c.flushing {
 		c.stateSince = c.f.opt.Host.Now()
 	}
 	busy := c.req != nil || c.flushing
