front/http: a request behind an answer that is flushed by now is taken as it arrives

A copy of it that came later on another connection was passed on first, and the owner was refused with 409.

Its client had read the whole answer before it sent the request.

Change: Traffic checks, before it reads, whether the answer is written.

--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -179,13 +179,8 @@
 		if c.closing {
 			continue
 		}
-		if c.flushing && c.g.OutboundBuffered() == 0 { // the last answer is now written completely
-			c.flushing = false
-			c.stateSince = now
-			c.processBuffered()
-			if c.closing {
-				continue
-			}
+		if c.finishFlush(); c.closing || c.closed {
+			continue
 		}
 		switch limits.Decide(now, c.state(), used, limit) {
 		case limits.Close:
@@ -451,7 +446,7 @@
 	if err != nil || c.closed {
 		return gnet.None
 	}
-	if c.discarding {
+	if c.finishFlush(); c.discarding || c.closing || c.closed {
 		return gnet.None
 	}
 	if len(c.buf) == 0 && c.chunks == nil && c.req == nil && !c.flushing {
@@ -473,6 +468,17 @@
 	return gnet.None
 }
 
+// finishFlush ends the state in which an answer is being written, if that is now written completely. A client sends its
+// next request as soon as it has read the answer, so Traffic checks it before it reads that request.
+func (c *conn) finishFlush() {
+	if !c.flushing || c.g.OutboundBuffered() > 0 {
+		return
+	}
+	c.flushing = false
+	c.stateSince = c.f.opt.Host.Now()
+	c.processBuffered()
+}
+
 // processBuffered reads buffered requests until one is open.
 func (c *conn) processBuffered() {
 	for c.req == nil && !c.flushing && !c.closing && !c.closed && len(c.buf) > 0 {
