front/http: discarded input closes the connection after a late-flushed answer

What callers saw: a client that sent over 1 MiB behind an answer which the kernel had not taken at once got the answer and then neither an error nor a close until it had been idle for 20 s. Everything it sent meanwhile was thrown away.

Cause: such a connection is closed by the next answer, since it then carries Connection: close; here the answer had been composed before, and no other follows.

Change: the connection is closed once the answer is written.

--- a/internal/front/http/flush_test.go
+++ b/internal/front/http/flush_test.go
@@ -60,3 +60,23 @@
 		t.Fatalf("the owner: %d %q", s, body)
 	}
 }
+
+// TestTooMuchBehindFlush guards against a connection that stays open and reads nothing, since too much was sent behind
+// an answer that the kernel had not taken at once.
+func TestTooMuchBehindFlush(t *testing.T) {
+	r := newHarness(t, 10)
+	c := r.flushing()
+	go c.send(strings.Repeat("x", 4<<20))
+	r.onLoopUntil(func() bool {
+		for k := range r.conns {
+			return k.discarding
+		}
+		return false
+	})
+	if s, body, _ := c.answer(); s != 200 || len(body) != len(largeAnswer) {
+		t.Fatalf("%d, %d bytes", s, len(body))
+	}
+	c.waitClosed()
+	c.Close()
+	r.waitEmpty()
+}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -476,6 +476,10 @@
 	}
 	c.flushing = false
 	c.stateSince = c.f.opt.Host.Now()
+	if c.discarding {
+		c.finish()
+		return
+	}
 	c.processBuffered()
 }
 
