--- a/requestid/requestid.go
+++ b/requestid/requestid.go
@@ -23,7 +23,7 @@
 	Retention = 6 * time.Second
 
 	// maxEnded is the number of ids in a generation at which the next one begins early. It bounds the memory: two
-	// generations of this size take 2.5 MB.
+	// generations of this size take under 2.5 MB.
 	maxEnded = 1 << 15
 
 	// maxEndedUntaken is the number of ids in a generation from which those of requests that the host could not take
@@ -75,7 +75,7 @@
 	}
 }
 
-// Open returns the number of open requests, Ended the number of ids remembered beside theirs.
+// Open returns the number of open requests.
 func (t *Tracker) Open() int { return len(t.open) }
 
 // Ended returns the number of remembered ids of requests that have ended.
