front/http: a request may come again if its connection ended and a repeat is safe

Cause: the id of a request that was taken was closed to every later request.

Change: if the connection of an open request ends, its id is released for connections opened since, where the class may be repeated or no attempt had begun. host.Request.MarkBegun is set by the backend before an attempt's first byte, on the loop on which the front abandons the request, so that "not begun" is final. A copy on a connection from before is refused as ever.

Measured: TestSentAgainAfterLoss, TestReleased and the new part of TestDuplicateWriteRunsOnce pass; that part fails without MarkBegun. Beside it: TestTooMuchBehindFlush failed once beside load ("connection reset by peer"); traced to the test, which sent 3 MiB more than the front had to see, past the bound of the graceful close.

--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -238,6 +238,7 @@
 			}
 			a := n.waiting[0]
 			n.waiting = slices.Delete(n.waiting, 0, 1)
+			a.Request.MarkBegun()
 			c.writeRequest(a)
 			continue
 		case connpool.WaitForIdle:
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -17,6 +17,7 @@
 type conn struct {
 	f          *Front
 	g          gnet.Conn
+	number     uint64 // in the order in which connections were opened, from 1
 	buf        []byte
 	scanned    int           // bytes of buf already searched for the end of a head
 	headParsed bool          // the head of the present request is complete, its body may not be
@@ -72,6 +73,8 @@
 	c.g = g
 	c.openedAt = c.f.opt.Host.Now()
 	c.stateSince = c.openedAt
+	c.f.opened++
+	c.number = c.f.opened
 	c.f.conns[c] = true
 	c.f.stats.Accepted++
 }
@@ -86,6 +89,11 @@
 		f.stats.Left++
 		c.req.Abandon()
 		f.opt.Host.ClientGone(c.hostID)
+		if !c.req.Begun() || f.rules.mayRepeat(c.req.Class) {
+			f.ids.Release(c.requestID, f.opened)
+		} else {
+			f.ids.End(c.requestID)
+		}
 		c.requestDone()
 	}
 	f.releasePlace()
@@ -115,9 +123,8 @@
 	c.inputAge.Consume(n)
 }
 
-// requestDone removes the open request.
+// requestDone removes the open request, whose id has ended.
 func (c *conn) requestDone() {
-	c.f.ids.End(c.requestID)
 	c.f.heldBytes -= int64(c.bodyBytes)
 	c.req, c.bodyBytes = nil, 0
 	if c.f.ids.Full() {
@@ -272,7 +279,7 @@
 	}
 	f := c.f
 	requestID, _ := requestid.Parse(r.Message.ID) // valid: rules.parse has checked it
-	if !f.ids.Take(requestID) {
+	if !f.ids.Take(requestID, c.number) {
 		f.stats.Duplicate++
 		c.respond(409, "", []byte("Request-Id: another request has used it\n"))
 		return
@@ -320,6 +327,7 @@
 		return
 	}
 	f := c.f
+	f.ids.End(c.requestID)
 	c.requestDone()
 	switch a.Kind {
 	case host.Served:
--- a/internal/front/http/duplicate_test.go
+++ b/internal/front/http/duplicate_test.go
@@ -321,6 +321,44 @@
 	}
 }
 
+// TestSentAgainAfterLoss checks a request whose connection is reset while it is open and which its client sends again on a
+// new connection, under its id: it is served unless it may have an effect that must not be repeated. A copy that waits
+// on a connection from before is refused in any case.
+func TestSentAgainAfterLoss(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		begun      bool
+		status     int
+	}{
+		{"a read that has begun", get(ownerID), true, 200},
+		{"a write that has not begun", put(ownerID) + plainBody, false, 200},
+		{"a write that has begun", put(ownerID) + plainBody, true, 409},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newHarness(t, 10)
+			bad, owner := r.dial(), r.dial()
+			r.sendRead(bad, get(id(1))+c.text)
+			first := <-r.host.submitted
+			owner.send(c.text)
+			q := <-r.host.submitted
+			if c.begun {
+				q.MarkBegun()
+			}
+			standin.Reset(owner.Conn)
+			<-r.host.left
+			again := r.dial()
+			again.send(c.text)
+			if c.status == 200 {
+				(<-r.host.submitted).Answer(served("mine"))
+			}
+			again.expect(c.status)
+			first.Answer(served("x"))
+			bad.expect(200)
+			r.expectDuplicate(bad)
+		})
+	}
+}
+
 const healthRequest = "GET /_health HTTP/1.1\r\nHost: o\r\n\r\n"
 
 // rotate advances the clock by generations of ids and lets the front begin each, without waiting for its sweep.
--- a/internal/front/http/flush_test.go
+++ b/internal/front/http/flush_test.go
@@ -66,7 +66,7 @@
 func TestTooMuchBehindFlush(t *testing.T) {
 	r := newHarness(t, 10)
 	c := r.flushing()
-	go c.send(strings.Repeat("x", 4<<20))
+	go c.send(strings.Repeat("x", maxBufferedBytes+1)) // no more, so that the graceful close has nothing left to discard
 	r.onLoopUntil(func() bool {
 		for k := range r.conns {
 			return k.discarding
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -66,6 +66,7 @@
 	// The remaining fields are accessed only on the loop.
 	conns         map[*conn]bool
 	ids           requestid.Tracker
+	opened        uint64 // connections opened since the start
 	heldBytes     int64
 	keepAlive     bool
 	draining      bool
--- a/internal/host/request.go
+++ b/internal/host/request.go
@@ -49,6 +49,7 @@
 	Answer func(Answer)
 
 	abandoned atomic.Bool
+	begun     atomic.Bool
 }
 
 // Abandon marks the request as one whose client has gone: no further attempt of it may begin. A front calls it
@@ -59,6 +60,13 @@
 // Abandoned reports whether the client has gone.
 func (r *Request) Abandoned() bool { return r.abandoned.Load() }
 
+// MarkBegun marks the request as one of which an attempt has begun. The backend calls it right before an attempt's first
+// byte is written.
+func (r *Request) MarkBegun() { r.begun.Store(true) }
+
+// Begun reports whether an attempt has begun. If it has not when the request is abandoned, none ever runs.
+func (r *Request) Begun() bool { return r.begun.Load() }
+
 // Answer is the final answer to a request.
 type Answer struct {
 	Kind       Kind
--- a/internal/live/duplicate_test.go
+++ b/internal/live/duplicate_test.go
@@ -45,6 +45,9 @@
 			if leaves {
 				owner.Close()
 				r.waitOpen(1)
+				again := r.dial() // the write has begun: it must not run again for a new connection either
+				send(t, again, writeText)
+				expectStatus(t, bufio.NewReader(again), 409)
 				close(releaseWrite)
 			} else {
 				close(releaseWrite)
--- a/requestid/requestid.go
+++ b/requestid/requestid.go
@@ -5,6 +5,9 @@
 // An id is used from the moment at which its request is taken, that is passed on for execution. A request that was
 // received and not taken leaves no trace: its client sends it again, under the same id, if the connection closes first.
 //
+// If a connection ends under an open request, its client may not know that the request was taken, and sends it again on
+// a new connection. That is allowed where it cannot repeat an effect: the id is released for connections opened since.
+//
 // An id is remembered while its request is open, and after that as long as a request that arrived before the end, or
 // soon after it, may still wait to be taken. Time is divided into generations of Retention. Rotate begins a new one and
 // forgets the ids of requests that ended before the previous one began. Received bytes that are as old have to be
@@ -12,6 +15,7 @@
 package requestid
 
 import (
+	"math"
 	"strconv"
 	"time"
 )
@@ -42,36 +46,51 @@
 	return ID(n), err == nil && len(s) == digits
 }
 
-type set map[ID]struct{}
+// closedTo is the number of the last connection on which an id may not be taken again.
+type closedTo map[ID]uint64
+
+// allConnections means that an id may not be taken again at all.
+const allConnections = math.MaxUint64
 
 // Tracker knows the ids in use and those used recently. The zero Tracker is ready to use.
 type Tracker struct {
-	open     set
-	recent   set // of requests that ended in the present generation
-	previous set // of requests that ended in the generation before
+	open     map[ID]struct{}
+	recent   closedTo // of requests that ended in the present generation
+	previous closedTo // of requests that ended in the generation before
 	began    time.Duration
 }
 
-// Take marks an id as that of an open request. It returns false if another request has used the id.
-func (t *Tracker) Take(id ID) bool {
-	if t.open.has(id) || t.recent.has(id) || t.previous.has(id) {
+// Take marks an id as that of an open request. It returns false if another request has used the id. connection is the
+// number of the request's connection; later connections have higher numbers.
+func (t *Tracker) Take(id ID, connection uint64) bool {
+	if _, open := t.open[id]; open || t.recent.forbids(id, connection) || t.previous.forbids(id, connection) {
 		return false
 	}
-	t.open.add(id)
+	if t.open == nil {
+		t.open = map[ID]struct{}{}
+	}
+	t.open[id] = struct{}{}
 	return true
 }
 
-// End records that an open request has ended, however it ended.
+// End records that an open request has ended: it was answered, or its effect must not be repeated.
 func (t *Tracker) End(id ID) {
 	delete(t.open, id)
-	t.recent.add(id)
+	t.recent.add(id, allConnections)
+}
+
+// Release records that the connection of an open request has ended before the answer, and that the request may run
+// again. lastConnection is the number of the last connection that was opened before.
+func (t *Tracker) Release(id ID, lastConnection uint64) {
+	delete(t.open, id)
+	t.recent.add(id, lastConnection)
 }
 
 // EndUntaken records that a request has ended because the host could not take it: nothing of it has run.
 func (t *Tracker) EndUntaken(id ID) {
 	delete(t.open, id)
 	if len(t.recent) < maxEndedUntaken {
-		t.recent.add(id)
+		t.recent.add(id, allConnections)
 	}
 }
 
@@ -94,16 +113,16 @@
 	t.previous, t.recent, t.began = t.recent, nil, now
 }
 
-func (s set) has(id ID) bool {
-	_, ok := s[id]
-	return ok
+func (c closedTo) forbids(id ID, connection uint64) bool {
+	last, ok := c[id]
+	return ok && connection <= last
 }
 
-func (s *set) add(id ID) {
-	if *s == nil {
-		*s = set{}
+func (c *closedTo) add(id ID, last uint64) {
+	if *c == nil {
+		*c = closedTo{}
 	}
-	(*s)[id] = struct{}{}
+	(*c)[id] = last
 }
 
 // InputAge tells whether the bytes that a connection has received and not yet passed on as requests are so old that ids
--- a/requestid/requestid_test.go
+++ b/requestid/requestid_test.go
@@ -30,27 +30,50 @@
 			tr.Rotate(now)
 		}
 	}
-	if !tr.Take(1) || tr.Take(1) {
+	if !tr.Take(1, 1) || tr.Take(1, 1) {
 		t.Fatal("an id is taken once")
 	}
 	for now := time.Duration(0); now < 5*Retention; now += Retention / 4 {
 		advance(now)
 	}
-	if tr.Take(1) || tr.Open() != 1 || tr.Ended() != 0 {
+	if tr.Take(1, 1) || tr.Open() != 1 || tr.Ended() != 0 {
 		t.Fatal("the id of an open request is forgotten")
 	}
 	tr.End(1)
 	advance(5*Retention + Retention - 1)
-	if tr.Take(1) {
+	if tr.Take(1, 1) {
 		t.Fatal("the id is forgotten too soon")
 	}
 	advance(6 * Retention)
 	advance(7 * Retention)
-	if tr.Open()+tr.Ended() != 0 || !tr.Take(1) {
+	if tr.Open()+tr.Ended() != 0 || !tr.Take(1, 1) {
 		t.Fatal("the id is remembered for too long")
 	}
 }
 
+// TestReleased checks that an id whose connection has ended is free on later connections only, over generations too, and
+// that it is closed to all once the request that used it again has ended.
+func TestReleased(t *testing.T) {
+	for rotations := range 2 {
+		var tr Tracker
+		tr.Take(1, 3)
+		tr.Release(1, 5)
+		for range rotations {
+			tr.Rotate(0)
+		}
+		if tr.Take(1, 5) {
+			t.Fatalf("%d rotations: taken again on a connection of before", rotations)
+		}
+		if !tr.Take(1, 6) || tr.Take(1, 7) {
+			t.Fatalf("%d rotations: not taken again once", rotations)
+		}
+		tr.End(1)
+		if tr.Take(1, 8) {
+			t.Fatalf("%d rotations: taken again after its end", rotations)
+		}
+	}
+}
+
 // TestMemoryBounded checks the number of remembered ids, and the bytes that they take, while requests come at full
 // speed, and that those of requests which the host does not take do not shorten a generation.
 func TestMemoryBounded(t *testing.T) {
@@ -62,7 +85,7 @@
 	next := ID(0)
 	for range 10 * maxEnded {
 		next++
-		tr.Take(next)
+		tr.Take(next, 1)
 		tr.EndUntaken(next)
 		if tr.RotationDue(0) {
 			t.Fatalf("a new generation after %d requests that were not taken", next)
@@ -70,7 +93,7 @@
 	}
 	for range 10 * maxEnded {
 		next++
-		tr.Take(next)
+		tr.Take(next, 1)
 		tr.End(next)
 		if tr.RotationDue(0) {
 			tr.Rotate(0)
@@ -81,7 +104,7 @@
 	}
 	for !tr.Full() {
 		next++
-		tr.Take(next)
+		tr.Take(next, 1)
 		tr.End(next)
 	}
 	runtime.GC()
@@ -157,7 +180,7 @@
 				c.age.Complete()
 				c.requests, c.incomplete = c.requests[1:], false
 				delete(fresh, r)
-				if !tr.Take(r.id) {
+				if !tr.Take(r.id, 1) {
 					return
 				}
 				if r.taken {
@@ -201,7 +224,7 @@
 	b.ReportAllocs()
 	for i := range b.N {
 		id := ID(i) * 0x9e3779b97f4a7c15
-		tr.Take(id)
+		tr.Take(id, 1)
 		tr.End(id)
 		if tr.RotationDue(0) {
 			tr.Rotate(0)
