--- /dev/null
+++ b/internal/standin/hostile.go
@@ -0,0 +1,266 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Hostile is a kind of client that does not keep to the protocol, or keeps to it at a rate that no usual client has.
+type Hostile struct {
+	Name  string
+	Conns int // connections that it uses at a time
+	// Run uses one connection until it fails or ctx is done. Requests whose client leaves are recorded.
+	Run func(ctx context.Context, c net.Conn, rng *rand.Rand, departures *Departures)
+}
+
+const (
+	crowd         = 500      // connections of a client that opens them by the hundred
+	floodBytes    = 64 << 10 // written at once by a client that floods a connection
+	healthRequest = "GET /_health HTTP/1.1\r\nHost: o\r\n\r\n"
+)
+
+// HostileClients are the kinds of hostile client.
+var HostileClients = []Hostile{
+	{"slow-write", crowd, slowWrite},
+	{"half-body", crowd, halfBody},
+	{"half-body-64k", crowd, halfBody64},
+	{"many-fields", crowd, manyFields},
+	{"long-targets", crowd, longTargets},
+	{"slow-chunks", crowd, slowChunks},
+	{"health-flood", 6, flood(healthRequest)},
+	{"copy-flood", 6, flood(ReadRequest(7, 7, 7, time.Second))},
+	{"name-flood", 6, nameFlood},
+	{"reject-flood", 6, flood("BAD\r\n\r\n")},
+	{"empty-lines", 6, flood(strings.Repeat("\r\n", 512))},
+	{"tiny-chunks", 6, tinyChunks},
+	{"write-and-leave", 6, writeAndLeave},
+	{"leave-and-repeat", 20, leaveAndRepeat},
+	{"never-reads", crowd, neverReads},
+	{"silent", crowd, holdOpen},
+}
+
+// Attack keeps the client's connections open, each one in place of one that has ended, until ctx is done.
+func (h Hostile) Attack(ctx context.Context, addr string, seed int64, departures *Departures) {
+	done := make(chan bool, h.Conns)
+	for i := range h.Conns {
+		go func() {
+			defer func() { done <- true }()
+			rng := rand.New(rand.NewSource(seed + int64(i)))
+			for ctx.Err() == nil {
+				c, err := net.DialTimeout("tcp", addr, time.Second)
+				if err != nil {
+					sleepFor(ctx, 20*time.Millisecond)
+					continue
+				}
+				stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+				h.Run(ctx, c, rng, departures)
+				stop()
+				_ = c.Close()
+			}
+		}()
+	}
+	for range h.Conns {
+		<-done
+	}
+}
+
+func sleepFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Departures records when the clients of requests closed their connections. A nil Departures records nothing.
+type Departures struct {
+	mu sync.Mutex
+	at map[string]time.Time // by id
+}
+
+// Record records that the connection of requests was closed.
+func (d *Departures) Record(at time.Time, ids ...uint64) {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.at == nil {
+		d.at = map[string]time.Time{}
+	}
+	for _, id := range ids {
+		d.at[fmt.Sprintf("%016x", id)] = at
+	}
+}
+
+// Of returns when the client of a request left; ok is false if it did not.
+func (d *Departures) Of(id string) (at time.Time, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok = d.at[id]
+	return at, ok
+}
+
+// ReadRequest returns a read of the class record-read as sent.
+func ReadRequest(id, volume, item uint64, within time.Duration) string {
+	return fmt.Sprintf("GET /api/%016x/%016x HTTP/1.1\r\nHost: o\r\nRequest-Id: %016x\r\nRequest-Class: record-read\r\n"+
+		"X-Storage-Class: standard\r\nRequest-Timeout-Ms: %d\r\nX-Extent: units=1,shard=%d,hosts=1\r\n\r\n",
+		volume, item, id, within.Milliseconds(), volume%8)
+}
+
+// WriteHead returns the head of a write of the class record-write, with further fields.
+func WriteHead(id, volume, item uint64, within time.Duration, fields string) string {
+	return fmt.Sprintf("PUT /api/%016x/%016x HTTP/1.1\r\nHost: o\r\nRequest-Id: %016x\r\nRequest-Class: record-write\r\n"+
+		"X-Storage-Class: standard\r\nRequest-Timeout-Ms: %d\r\nX-Extent: units=1,shard=%d,hosts=1\r\nIdempotency-Key: k%d\r\n%s\r\n",
+		volume, item, id, within.Milliseconds(), volume%8, id, fields)
+}
+
+// HostileID returns an id that no usual client uses.
+func HostileID(rng *rand.Rand) uint64 { return 1<<63 | rng.Uint64() }
+
+func slowWrite(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	go io.Copy(io.Discard, c)
+	text := WriteHead(HostileID(rng), rng.Uint64(), rng.Uint64(), time.Second, "Content-Length: 60000\r\n") + strings.Repeat("x", 60000)
+	for len(text) > 0 && ctx.Err() == nil {
+		n := min(len(text), 1+rng.Intn(3000))
+		if _, err := io.WriteString(c, text[:n]); err != nil {
+			return
+		}
+		text = text[n:]
+		sleepFor(ctx, time.Duration(rng.Intn(200))*time.Millisecond)
+	}
+}
+
+func halfBody(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	text := WriteHead(HostileID(rng), 1, 2, time.Second, "Content-Length: 1000000\r\n") + strings.Repeat("x", 500_000)
+	_, _ = io.WriteString(c, text)
+	holdOpen(ctx, c, rng, nil)
+}
+
+func halfBody64(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	text := WriteHead(HostileID(rng), 1, 2, time.Second, "Content-Length: 65000\r\n") + strings.Repeat("x", 10_000+rng.Intn(40_000))
+	_, _ = io.WriteString(c, text)
+	holdOpen(ctx, c, rng, nil)
+}
+
+func manyFields(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	fields := strings.Repeat("a:b\r\n", 1500)
+	if rng.Intn(2) == 0 {
+		fields = strings.Repeat("a:b\r\n", 50) + "B: " + strings.Repeat("y", 7000) + "\r\n"
+	}
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\n"+fields)
+	holdOpen(ctx, c, rng, nil)
+}
+
+// longTargets sends requests whose targets, which the host keeps with the request, are as long as a head may be.
+func longTargets(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	text := ReadRequest(HostileID(rng), rng.Uint64(), rng.Uint64(), 10*time.Second)
+	text = strings.Replace(text, " HTTP/1.1", "?"+strings.Repeat("q", 7500)+" HTTP/1.1", 1)
+	_, _ = io.WriteString(c, text)
+	answer := make([]byte, 4096)
+	_, _ = c.Read(answer)
+}
+
+func slowChunks(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	go io.Copy(io.Discard, c)
+	_, _ = io.WriteString(c, WriteHead(HostileID(rng), 1, 2, time.Second, "Transfer-Encoding: chunked\r\n"))
+	for ctx.Err() == nil {
+		n := 1 + rng.Intn(5000)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", n, strings.Repeat("x", n)); err != nil {
+			return
+		}
+		sleepFor(ctx, time.Duration(rng.Intn(100))*time.Millisecond)
+	}
+}
+
+// flood sends requests at full speed and reads what it gets.
+func flood(request string) func(context.Context, net.Conn, *rand.Rand, *Departures) {
+	text := strings.Repeat(request, 1+floodBytes/len(request))
+	return func(ctx context.Context, c net.Conn, _ *rand.Rand, _ *Departures) {
+		go io.Copy(io.Discard, c)
+		for ctx.Err() == nil {
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// nameFlood sends requests one after another, each with a new volume, item and id.
+func nameFlood(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	answer := make([]byte, 4096)
+	for ctx.Err() == nil {
+		text := ReadRequest(HostileID(rng), rng.Uint64(), rng.Uint64(), time.Millisecond)
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		if _, err := c.Read(answer); err != nil {
+			return
+		}
+	}
+}
+
+func tinyChunks(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	go io.Copy(io.Discard, c)
+	_, _ = io.WriteString(c, WriteHead(HostileID(rng), 1, 2, time.Second, "Transfer-Encoding: chunked\r\n"))
+	chunks := strings.Repeat("1\r\nx\r\n", floodBytes/6)
+	for ctx.Err() == nil {
+		if _, err := io.WriteString(c, chunks); err != nil {
+			return
+		}
+	}
+}
+
+// writeAndLeave sends much more than the host reads at once, requests among it, and closes the connection.
+func writeAndLeave(ctx context.Context, c net.Conn, rng *rand.Rand, departures *Departures) {
+	var b strings.Builder
+	var ids []uint64
+	for size := 100_000 + rng.Intn(1_000_000); b.Len() < size; {
+		ids = append(ids, HostileID(rng))
+		b.WriteString(ReadRequest(ids[len(ids)-1], rng.Uint64(), rng.Uint64(), time.Second))
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+	_, _ = io.WriteString(c, b.String())
+	sleepFor(ctx, 20*time.Millisecond)
+	_ = c.Close()
+	departures.Record(time.Now(), ids...)
+}
+
+// leaveAndRepeat sends a request, leaves, and sends it again under its id.
+func leaveAndRepeat(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	text := ReadRequest(HostileID(rng), rng.Uint64(), rng.Uint64(), time.Second)
+	for ctx.Err() == nil {
+		_, _ = io.WriteString(c, text)
+		sleepFor(ctx, time.Duration(rng.Intn(40))*time.Millisecond)
+		_ = c.Close()
+		if rng.Intn(3) == 0 {
+			return
+		}
+		again, err := net.DialTimeout("tcp", c.RemoteAddr().String(), time.Second)
+		if err != nil {
+			return
+		}
+		c = again
+	}
+	_ = c.Close()
+}
+
+// neverReads asks for answers and does not read them.
+func neverReads(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
+	_ = c.(*net.TCPConn).SetReadBuffer(4096)
+	var b strings.Builder
+	for range 20 {
+		b.WriteString(strings.Replace(ReadRequest(HostileID(rng), rng.Uint64(), 0, time.Second), " HTTP", "?long HTTP", 1))
+	}
+	_, _ = io.WriteString(c, b.String())
+	sleepFor(ctx, 8*time.Second)
+}
+
+func holdOpen(_ context.Context, c net.Conn, _ *rand.Rand, _ *Departures) {
+	_, _ = io.Copy(io.Discard, c)
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -29,7 +29,8 @@
 type Seen struct {
 	Method, Target, ID, Key, Left string
 	Body                          string
-	Conn                          int // number of the connection, from 1
+	Conn                          int       // number of the connection, from 1
+	At                            time.Time // when its last byte was read
 }
 
 // Reply is a script's reply to a request. Text is written unchanged, then Then is called.
@@ -101,7 +102,7 @@
 			return
 		}
 		s := Seen{req.Method, req.RequestURI, req.Header.Get("Request-Id"), req.Header.Get("Idempotency-Key"),
-			req.Header.Get("Request-Timeout-Ms"), string(body), number}
+			req.Header.Get("Request-Timeout-Ms"), string(body), number, time.Now()}
 		n.mu.Lock()
 		n.seen = append(n.seen, s)
 		n.changed.Broadcast()
--- /dev/null
+++ b/internal/standin/stage.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+)
+
+const (
+	stageNodes   = 8
+	usualClients = 10
+	serviceTime  = 15 * time.Millisecond
+	longBody     = 1 << 20                                    // of the answer to a request whose target asks for it
+	beginGrace   = 100*time.Millisecond + 50*time.Millisecond // after a client's close, for an attempt to begin
+	throttleLag  = 2 * throttlePeriod                         // until a throttled process sees what has arrived
+	pause        = 50 * time.Millisecond
+	readyWithin  = 10 * time.Second
+)
+
+const stageSettings = `{"balancers":4,"discovery":"pushed","classes":[
+ {"name":"record-read","effect":"retryable","slo_ms":120,"deadline_ms":1000,"credit":2},
+ {"name":"record-write","effect":"dedup","dedup_scope":"cell","window_ms":1000,"slo_ms":200,"deadline_ms":3000,"credit":2}],
+ "family_info":{"unit_mean":2,"most_units":6,"slots_total":8,"within_share":1,"idle_worth":0.1,"writes":[false,true]},
+ "limits":{"cancelling":true,"conn_idle_ms":30000,"dial_timeout_ms":250,"max_attempts":4,"max_retry_after_ms":2000},
+ "policies":[{"name":"standard","nominal":100,"pays":1,"shares":1}],"telemetry":{"fields":["queue","latency_ms"],"via":"answers"}}`
+
+// Stage is a host as a process with everything around it: nodes, discovery, usual clients and hostile ones.
+type Stage struct {
+	Addr       string
+	Host       *HostProcess
+	Usual      *UsualClients
+	Departures *Departures
+
+	options HostOptions
+	nodes   []*HTTPNode
+	agent   *Agent
+	broken  []string
+	peak    int64
+}
+
+// NewStage starts nodes, discovery and a host. Listen and Config of the options are filled in.
+func NewStage(o HostOptions) (*Stage, error) {
+	s := &Stage{Departures: &Departures{}, options: o}
+	long := Served(strings.Repeat("z", longBody))
+	var targets []string
+	for i := range stageNodes {
+		n, err := NewHTTPNode(func(r Seen) Reply {
+			time.Sleep(serviceTime)
+			if strings.Contains(r.Target, "?long") {
+				return Reply{Text: long}
+			}
+			return Reply{Text: Served("of " + r.ID)}
+		})
+		if err != nil {
+			return nil, err
+		}
+		s.nodes = append(s.nodes, n)
+		targets = append(targets, Target(fmt.Sprintf("s-%d", i), n.Addr(), i, "active", 0))
+	}
+	list := List(1, true, targets...)
+	var err error
+	if s.agent, err = NewAgentWith("", func(w Watch) { w.Head(); w.Line(list) }); err != nil {
+		return nil, err
+	}
+	go s.keepWatches()
+	if s.Addr, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	s.options.Config = fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"01","limits":{"cores":%v,"memory_mb":%v,"sockets":%d},"known":%s,"settings":%s}`,
+		s.Addr, s.agent.Addr(), max(o.Cores, 0.01), o.MemoryMB, o.Sockets, list, stageSettings)
+	s.Usual = NewUsualClients(s.Addr, s.Departures)
+	return s, s.Start()
+}
+
+// keepWatches sends the empty lines that keep watches alive.
+func (s *Stage) keepWatches() {
+	const beat = 2 * time.Second
+	for {
+		w := s.agent.Next()
+		go func() {
+			for _, err := fmt.Fprint(w.Conn, "1\r\n\n\r\n"); err == nil; _, err = fmt.Fprint(w.Conn, "1\r\n\n\r\n") {
+				time.Sleep(beat)
+			}
+		}()
+	}
+}
+
+// freeAddress returns a loopback address on which nobody listens.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Start starts the host, also after it has ended, and waits until it is ready.
+func (s *Stage) Start() error {
+	var err error
+	if s.Host, err = StartHost(s.options); err != nil {
+		return err
+	}
+	for until := time.Now().Add(readyWithin); time.Now().Before(until); time.Sleep(pause) {
+		if s.ready() {
+			return nil
+		}
+	}
+	s.Host.Kill()
+	return fmt.Errorf("stand-in host: not ready within %v:\n%s", readyWithin, s.Host.Log.Text())
+}
+
+// ready reports whether the host's health check succeeds.
+func (s *Stage) ready() bool {
+	c, err := net.DialTimeout("tcp", s.Addr, pause)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	status := make([]byte, len("HTTP/1.1 200"))
+	if _, err := fmt.Fprint(c, healthRequest); err != nil {
+		return false
+	}
+	n, _ := c.Read(status)
+	return string(status[:n]) == "HTTP/1.1 200"
+}
+
+// Play lets the usual clients send for a time, with the hostile ones after a quarter of it and until before its end.
+func (s *Stage) Play(d time.Duration, seed int64, hostile ...Hostile) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	attack, end := context.WithTimeout(context.Background(), d-d/8)
+	defer end()
+	attacked := make(chan bool, len(hostile))
+	for i, h := range hostile {
+		go func() {
+			sleepFor(attack, d/4)
+			h.Attack(attack, s.Addr, seed+int64(i+1)<<32, s.Departures)
+			attacked <- true
+		}()
+	}
+	s.Usual.Run(ctx, usualClients, seed)
+	for range hostile {
+		<-attacked
+	}
+	s.checkHost()
+}
+
+// checkHost records how the host's process fared.
+func (s *Stage) checkHost() {
+	s.peak = max(s.peak, s.Host.PeakMemory())
+	switch {
+	case s.Host.OverLimit():
+		s.broken = append(s.broken, fmt.Sprintf("memory: %d bytes resident, %v MB allowed", s.Host.PeakMemory(), s.options.MemoryMB))
+	case s.Host.Ended():
+		s.broken = append(s.broken, "the process ended by itself: "+lastLines(s.Host.Log.Text()))
+	}
+}
+
+func lastLines(text string) string { return text[max(0, len(text)-2000):] }
+
+// Peak returns the highest resident size of the host, in bytes.
+func (s *Stage) Peak() int64 { return s.peak }
+
+// Broken returns the rules that were broken, judged from the sockets and the process.
+func (s *Stage) Broken() []string {
+	broken := append([]string(nil), s.broken...)
+	for _, lost := range s.Usual.Lost {
+		broken = append(broken, "lost: "+lost)
+	}
+	runs := map[string]int{}
+	for _, n := range s.nodes {
+		for _, r := range n.WaitSeen(0) {
+			if runs[r.ID]++; runs[r.ID] == 2 {
+				broken = append(broken, "an id ran twice: "+r.ID)
+			}
+			if left, ok := s.Departures.Of(r.ID); ok && r.At.Sub(left) > beginGrace+throttleLag {
+				broken = append(broken, fmt.Sprintf("an attempt of %s came %v after its client had left", r.ID, r.At.Sub(left)))
+			}
+		}
+	}
+	return broken
+}
+
+// Close ends the host and its surroundings.
+func (s *Stage) Close() {
+	s.Host.Kill()
+	s.agent.Close()
+	for _, n := range s.nodes {
+		n.Close()
+	}
+}
