requestid: the id of a request that has begun is refused, whoever sends it again

Cause: since the id of a request whose connection ended was released for later connections if its class may be repeated, also if an attempt had begun (conn.Closed). And an id was forgotten 6 to 12 s after its end in any case.

Change: conn.Closed and conn.deliver tell the tracker whether an attempt had begun (host.Request.Begun, set before its first byte on the same loop). Such ids are kept apart, in two generations by number only: each is remembered until at least as many others have begun as the limit allows.

TestSentAgainAfterLoss expected 200 for a read that had begun: that was the fault. It expects 409 now, and 200 for one that had not.

Measured: TestBegunNeverAgain and that case fail without the change (ids released: taken again).

--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -89,10 +89,10 @@
 		f.stats.Left++
 		c.req.Abandon()
 		f.opt.Host.ClientGone(c.hostID)
-		if !c.req.Begun() || f.rules.mayRepeat(c.req.Class) {
-			f.ids.Release(c.requestID, f.opened)
+		if c.req.Begun() {
+			f.ids.EndBegun(c.requestID)
 		} else {
-			f.ids.End(c.requestID)
+			f.ids.Release(c.requestID, f.opened)
 		}
 		c.requestDone()
 	}
@@ -327,7 +327,11 @@
 		return
 	}
 	f := c.f
-	f.ids.End(c.requestID)
+	if r.Begun() {
+		f.ids.EndBegun(c.requestID)
+	} else {
+		f.ids.End(c.requestID)
+	}
 	c.requestDone()
 	switch a.Kind {
 	case host.Served:
--- a/internal/front/http/duplicate_test.go
+++ b/internal/front/http/duplicate_test.go
@@ -322,15 +322,16 @@
 }
 
 // TestSentAgainAfterLoss checks a request whose connection is reset while it is open and which its client sends again on a
-// new connection, under its id: it is served unless it may have an effect that must not be repeated. A copy that waits
-// on a connection from before is refused in any case.
+// new connection, under its id: it is served unless an attempt had begun, since an id that has run must not run again,
+// whatever its class. A copy that waits on a connection from before is refused in any case.
 func TestSentAgainAfterLoss(t *testing.T) {
 	for _, c := range []struct {
 		name, text string
 		begun      bool
 		status     int
 	}{
-		{"a read that has begun", get(ownerID), true, 200},
+		{"a read that has not begun", get(ownerID), false, 200},
+		{"a read that has begun", get(ownerID), true, 409},
 		{"a write that has not begun", put(ownerID) + plainBody, false, 200},
 		{"a write that has begun", put(ownerID) + plainBody, true, 409},
 	} {
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -51,9 +51,6 @@
 	return r
 }
 
-// mayRepeat reports whether a request of the class may run more than once.
-func (rs rules) mayRepeat(class string) bool { return rs.classes[class].Effect == control.Safe }
-
 // parse converts a request's head to a host request, without the body, which is read later.
 func (rs rules) parse(h *http1.Request) (*host.Request, error) {
 	m := &http1.Message{Method: string(h.Method), Target: string(h.Target), ID: h.Header.SingleValue("Request-Id")}
--- a/requestid/requestid_test.go
+++ b/requestid/requestid_test.go
@@ -74,10 +74,43 @@
 	}
 }
 
+// TestBegunNeverAgain guards against a request that runs twice since it comes again, on a new connection and long after its
+// end: its id is refused until as many others have begun as the limit allows.
+func TestBegunNeverAgain(t *testing.T) {
+	tr, now := NewTracker(100), time.Duration(0)
+	end := func(id ID) {
+		if !tr.Take(id, 1) {
+			t.Fatalf("id %d was not taken", id)
+		}
+		if tr.EndBegun(id); tr.Full() {
+			tr.Rotate(now)
+		}
+	}
+	end(1)
+	for range 100 {
+		now += Retention
+		tr.Rotate(now)
+		if tr.Take(1, 1000) {
+			t.Fatalf("taken again at %v", now)
+		}
+	}
+	for id := ID(2); id <= 101; id++ {
+		if end(id); tr.Take(1, 1000) {
+			t.Fatalf("taken again after %d others", id-1)
+		}
+	}
+	for id := ID(102); id <= 301; id++ {
+		end(id)
+	}
+	if len(tr.begun)+len(tr.begunPast) > 200 || !tr.Take(1, 1000) {
+		t.Fatalf("%d ids are remembered", len(tr.begun)+len(tr.begunPast))
+	}
+}
+
 // TestMemoryBounded checks the number of remembered ids, and the bytes that they take, while requests come at full
 // speed, and that those of requests which the host does not take do not shorten a generation.
 func TestMemoryBounded(t *testing.T) {
-	const maxBytes = 3 << 20
+	const maxBytes, maxEnded = 3 << 20, DefaultLimit
 	var tr Tracker
 	var before, after runtime.MemStats
 	runtime.GC()
@@ -102,15 +135,27 @@
 			t.Fatalf("%d ids remembered, %d open", tr.Ended(), tr.Open())
 		}
 	}
-	for !tr.Full() {
+	for range 10 * maxEnded {
 		next++
 		tr.Take(next, 1)
-		tr.End(next)
+		if tr.EndBegun(next); tr.Full() {
+			tr.Rotate(0)
+		}
+		if n := len(tr.begun) + len(tr.begunPast); n > 2*maxEnded {
+			t.Fatalf("%d ids of requests that had begun", n)
+		}
+	}
+	for len(tr.recent)+1 < maxEnded || len(tr.previous) == 0 {
+		next++
+		tr.Take(next, 1)
+		if tr.End(next); tr.Full() {
+			tr.Rotate(0)
+		}
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	if n := int64(after.HeapAlloc) - int64(before.HeapAlloc); n > maxBytes {
-		t.Fatalf("%d ids take %d bytes, %d allowed", tr.Ended(), n, maxBytes)
+	if n := int64(after.HeapAlloc) - int64(before.HeapAlloc); n > min(maxBytes, BytesPerID*maxEnded) {
+		t.Fatalf("%d ids take %d bytes, %d allowed", tr.Ended(), n, min(maxBytes, BytesPerID*maxEnded))
 	}
 	runtime.KeepAlive(&tr)
 }
