control: what is remembered under the names that clients give has a limit

Cause: Controller.volumes and firstTries get an entry for each new volume and item, kept for 30 to 60 s whatever their number. Their keys were parts of the request's target, so each entry kept all of it, up to 8 KiB (front/http parsePath). recentRequests was cut only when an attempt was repeated, unlisted nodes only every 30 s.

Change: Settings.MaxNames (0: 16,384) bounds volumes and first tries. First tries are kept in two generations. At the limit the accounts used longest ago are dropped, but none with an open request and none whose limit is in use: a new account would allow its units twice. If none can go the request is refused. Decisions below the limit are as before.

--- a/control/api.go
+++ b/control/api.go
@@ -100,6 +100,10 @@
 	MaxListRequestInterval time.Duration // longest time without a request to the list service
 
 	LoadFields []string // names of the values in a load report
+
+	// MaxNames bounds what is remembered by the names that clients give: volumes, and requests that may come
+	// again; 0: 16,384. It is a limit of memory: an entry of each kind takes BytesPerName together.
+	MaxNames int
 }
 
 // check returns an error that names the first invalid field.
--- a/control/control.go
+++ b/control/control.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -56,8 +55,9 @@
 		settings: settings, rng: rand.New(rand.NewSource(seed)),
 		classes: map[string]*class{}, plans: map[string]*Plan{}, requests: map[string]*request{},
 		nodes: map[string]*node{}, volumes: map[string]*volume{}, items: map[string]*itemQueue{},
-		firstTries: map[retryKey]time.Duration{}, servedByShard: map[int]decayingSum{},
+		firstTries: firstTries{}, servedByShard: map[int]decayingSum{},
 	}
+	c.settings.MaxNames = cmp.Or(settings.MaxNames, defaultMaxNames)
 	c.settings.Hosts = max(1, settings.Hosts)
 	c.settings.MeanUnits = cmp.Or(settings.MeanUnits, 1)
 	c.slot = 500 * time.Millisecond
@@ -135,7 +135,7 @@
 // counts as a first try.
 func (c *Controller) timeSpent(e Request, cl *class) time.Duration {
 	missing := cl.maxExpires - e.Expires
-	first, known := c.firstTries[retryKey{e.Volume, e.Class, e.Item}]
+	first, known := c.firstTries.get(retryKey{e.Volume, e.Class, e.Item})
 	gap := missing - (c.now - first)
 	if e.Retry || known && max(gap, -gap) <= c.slot/checksPerSlot || missing <= c.stallTime {
 		return missing
@@ -143,8 +143,8 @@
 	return 0
 }
 
-// accept registers a new request. It returns nil for a duplicate id, which it ignores, and for an unknown
-// class, for which it emits a Fail.
+// accept registers a new request. It returns nil for a duplicate id, which it ignores, for an unknown class,
+// for which it emits a Fail, and if no further volume can be remembered, for which it emits a Refuse.
 func (c *Controller) accept(e Request) *request {
 	cl := c.classes[e.Class]
 	if cl == nil {
@@ -156,6 +156,11 @@
 	if e.Units <= 0 {
 		e.Units = c.settings.MeanUnits
 	}
+	v := c.volumeFor(e)
+	if v == nil { // nothing has run, so a retry is harmless
+		c.emit(Refuse{e.ID, c.slot})
+		return nil
+	}
 	cl.maxExpires = max(cl.maxExpires, e.Expires)
 	spent := c.timeSpent(e, cl)
 	r := &request{Request: e, class: cl, firstTryAt: c.now - spent}
@@ -166,9 +171,10 @@
 	r.aimAt = min(r.aimAt, r.deadline)
 	c.requests[e.ID] = r
 	if c.settings.RetryBudgetSpan > 0 {
-		c.recentRequests = append(c.recentRequests, timedAmount{c.now, 1})
+		c.addRecentRequest()
 	}
-	r.volume = c.volumeFor(e)
+	r.volume = v
+	v.open++
 	if cl.InOrder && e.Item != "" {
 		q := c.items[e.Item]
 		if q == nil {
@@ -181,7 +187,8 @@
 	return r
 }
 
-// volumeFor returns the account of the request's volume, creating it if needed. This host gets one in
+// volumeFor returns the account of the request's volume, creating it if needed; nil if there is no room for
+// another account. This host gets one in
 // sqrt(hosts) of the reserve and the share, the part that the busiest host of a volume tends to serve; of
 // the limit, which is strict, it gets one in hosts. The limit's bucket starts at the slack only: a host
 // that was killed may have used up its part just before and does not know it.
@@ -190,6 +197,9 @@
 	if v != nil {
 		return v
 	}
+	if !c.makeRoomForVolume() {
+		return nil
+	}
 	v = &volume{plan: c.plans[e.Plan], hosts: float64(max(1, e.Hosts)), meteredRate: -1}
 	if v.plan == nil {
 		v.plan = &Plan{Name: e.Plan, Weight: 1}
@@ -522,25 +532,6 @@
 	return load * max(load, min(2, overallLoadFactor*sim.overall)) * c.meanUnitWorth
 }
 
-// removeStale removes state that nothing can refer to any more, once in every stateRetention.
-func (c *Controller) removeStale() {
-	if c.now < c.cleanedAt+stateRetention {
-		return
-	}
-	c.cleanedAt = c.now
-	c.withinRetryBudget() // removes the entries that have left its span
-	old := func(at time.Duration) bool { return c.now-at > stateRetention }
-	maps.DeleteFunc(c.firstTries, func(_ retryKey, at time.Duration) bool { return old(at) })
-	maps.DeleteFunc(c.volumes, func(_ string, v *volume) bool { return old(v.demand.at) })
-	maps.DeleteFunc(c.servedByShard, func(_ int, f decayingSum) bool { return old(f.at + stateRetention) })
-	maps.DeleteFunc(c.items, func(_ string, q *itemQueue) bool {
-		return len(q.waiting) < 1 && old(q.pausedUntil)
-	})
-	gone := func(n *node) bool { return !n.listed && len(n.held)+len(n.inFlight) == 0 }
-	c.nodesByID = slices.DeleteFunc(c.nodesByID, gone)
-	maps.DeleteFunc(c.nodes, func(_ string, n *node) bool { return gone(n) })
-}
-
 // admit holds the request at the node and sheds load by the simulation: as long as a deadline is missed, or
 // leaving out some request earns more than serving it, the request whose absence earns most is refused. It
 // may be the new request or a held one of lower worth.
@@ -712,7 +703,7 @@
 		}
 	}
 	r.finished = true
-	c.firstTries[retryKey{r.Volume, r.Class, r.Item}] = r.firstTryAt
+	c.firstTries.add(retryKey{r.Volume, r.Class, r.Item}, r.firstTryAt, c.settings.MaxNames)
 	c.removeFinished(r)
 }
 
@@ -996,10 +987,14 @@
 		listedIDs[entry.ID] = true
 		c.applyNode(entry)
 	}
+	unlisted := 0
 	for _, n := range c.nodesByID {
 		if e.Kind != ListDelta && !listedIDs[n.ID] {
 			n.listed = false
 		}
+		if !n.listed {
+			unlisted++
+		}
 		if !n.usable() {
 			moved = append(moved, n.held...)
 			for _, r := range n.held {
@@ -1008,6 +1003,9 @@
 			n.held = nil
 		}
 	}
+	if unlisted > c.settings.MaxNames/4 {
+		c.removeGoneNodes()
+	}
 	return moved
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -994,7 +994,7 @@
 	}
 	most := 4 * int(stateRetention/time.Second)
 	for what, k := range map[string]int{"volumes": len(h.c.volumes), "nodes": len(h.c.nodes), "nodes by id": len(h.c.nodesByID),
-		"items": len(h.c.items), "first tries": len(h.c.firstTries), "served by shard": len(h.c.servedByShard),
+		"items": len(h.c.items), "first tries": h.c.firstTries.len(), "served by shard": len(h.c.servedByShard),
 		"recent requests": len(h.c.recentRequests), "recent retries": len(h.c.recentRetries),
 		"later attempts": len(h.c.laterAttempts), "requests": len(h.c.requests)} {
 		if k > most {
--- a/control/state.go
+++ b/control/state.go
@@ -25,13 +25,13 @@
 	nodesByID      []*node // sorted by id
 	volumes        map[string]*volume
 	items          map[string]*itemQueue
-	cleanedAt      time.Duration              // when removeStale last ran
-	servedTotal    decayingSum                // units that all nodes served to this host
-	servedByShard  map[int]decayingSum        // the same by shard
-	firstTries     map[retryKey]time.Duration // when the first try of a request that may come again arrived
-	stallTime      time.Duration              // how long this host was stalled before this step; 0: not
-	recentRequests []timedAmount              // within Settings.RetryBudgetSpan, for the retry budget
-	recentRetries  []timedAmount              // the same
+	cleanedAt      time.Duration       // when removeStale last ran
+	servedTotal    decayingSum         // units that all nodes served to this host
+	servedByShard  map[int]decayingSum // the same by shard
+	firstTries     firstTries
+	stallTime      time.Duration // how long this host was stalled before this step; 0: not
+	recentRequests []timedAmount // within Settings.RetryBudgetSpan, for the retry budget
+	recentRetries  []timedAmount // the same
 	timerToken     int64
 	timerAt        time.Duration
 	timerSet       bool
@@ -90,6 +90,7 @@
 // volume is the account of a volume at this host.
 type volume struct {
 	plan    *Plan
+	open    int // accepted requests that are kept
 	reserve bucket
 	share   bucket
 	demand  decayingSum
@@ -290,10 +291,11 @@
 
 // removeFinished removes a request that is finished and has no open attempt, also from the queue of its item.
 func (c *Controller) removeFinished(r *request) {
-	if !r.finished || c.hasOpenAttempt(r) {
+	if !r.finished || c.hasOpenAttempt(r) || c.requests[r.ID] != r {
 		return
 	}
 	delete(c.requests, r.ID)
+	r.volume.open--
 	if r.queue != nil {
 		r.queue.waiting = slices.DeleteFunc(r.queue.waiting, func(x *request) bool { return x == r })
 		if len(r.queue.waiting) == 0 && r.queue.pausedUntil <= c.now {
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -35,18 +35,18 @@
 // rules are the settings against which requests are checked.
 type rules struct {
 	classes  map[string]control.Class
-	plans    map[string]bool
+	plans    map[string]string // to the name as the settings hold it
 	shards   int     // 0: unknown
 	maxUnits float64 // 0: unknown
 }
 
 func newRules(settings control.Settings) rules {
-	r := rules{classes: map[string]control.Class{}, plans: map[string]bool{}, shards: settings.Shards, maxUnits: settings.MaxUnits}
+	r := rules{classes: map[string]control.Class{}, plans: map[string]string{}, shards: settings.Shards, maxUnits: settings.MaxUnits}
 	for _, c := range settings.Classes {
 		r.classes[c.Name] = c
 	}
 	for _, p := range settings.Plans {
-		r.plans[p.Name] = true
+		r.plans[p.Name] = p.Name
 	}
 	return r
 }
@@ -58,13 +58,14 @@
 	if !isHexID(m.ID) {
 		return nil, newRequestError(400, "Request-Id: expected %d hexadecimal digits, once", idDigits)
 	}
-	r.Class, r.Plan = h.Header.SingleValue("Request-Class"), h.Header.SingleValue("X-Storage-Class")
-	class, known := rs.classes[r.Class]
+	className, planName := h.Header.SingleValue("Request-Class"), h.Header.SingleValue("X-Storage-Class")
+	class, known := rs.classes[className]
 	if !known {
-		return nil, newRequestError(400, "Request-Class %q: not in the settings", truncate(r.Class))
+		return nil, newRequestError(400, "Request-Class %q: not in the settings", truncate(className))
 	}
-	if !rs.plans[r.Plan] {
-		return nil, newRequestError(400, "X-Storage-Class %q: not in the settings", truncate(r.Plan))
+	r.Class = class.Name
+	if r.Plan, known = rs.plans[planName]; !known {
+		return nil, newRequestError(400, "X-Storage-Class %q: not in the settings", truncate(planName))
 	}
 	want := "GET"
 	if class.Writes {
@@ -130,7 +131,8 @@
 	return nil
 }
 
-// parsePath returns the last two elements of a path, volume and item.
+// parsePath returns the last two elements of a path, volume and item. They do not refer to the target: the controller
+// remembers them for longer than the request, and targets may be long.
 func parsePath(target string) (volume, item string, err error) {
 	path, _, _ := strings.Cut(target, "?")
 	if !strings.HasPrefix(path, "/") {
@@ -141,7 +143,7 @@
 	if !isHexID(volume) || !isHexID(item) {
 		return "", "", newRequestError(404, "path %q: expected a volume and an item of %d hexadecimal digits", truncate(target), idDigits)
 	}
-	return volume, item, nil
+	return strings.Clone(volume), strings.Clone(item), nil
 }
 
 func parseTimeout(s string) (time.Duration, error) {
