cmd/eiderhold: the deploy build leaves out the tools, most of a host's memory at rest

A host at rest took 21.6 to 26.5 MB of the least limit of 32 MB.

Cause: 18 to 24 MB of that are pages of the program's file. The initialization of 480 packages touches nearly all of 21 MB of code and constants: libraries for charts, fonts and columnar files, which only planning and development commands use. Where the kernel maps the file in large pieces all of it counts.

Change: the build tag hostonly leaves out the commands for rehearsals, planning and development (tools.go); the deploy file sets it. serve, live, config and version stay, one program. The fault tests play the program as the deploy file builds it. They count an id as run twice only if a client has sent it twice: a host may repeat a read.

--- a/cmd/eiderhold/main.go
+++ b/cmd/eiderhold/main.go
@@ -34,8 +34,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(devCommand(), serveCommand(), configCommand(), versionCommand(),
-		rehearseCommand(), auditCommand(), replayCommand(), nodeCommand(), registerCommand(), sharesCommand(), spaceCommand(), mapCommand(), liveCommand())
+	root.AddCommand(serveCommand(), configCommand(), versionCommand(), liveCommand())
+	root.AddCommand(toolCommands()...)
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
--- a/cmd/eiderhold/shares.go
+++ b/cmd/eiderhold/shares.go
@@ -1,3 +1,5 @@
+//go:build !hostonly
+
 package main
 
 import (
--- a/internal/standin/hostile.go
+++ b/internal/standin/hostile.go
@@ -77,10 +77,29 @@
 	}
 }
 
-// Departures records when the clients of requests closed their connections. A nil Departures records nothing.
+// Departures records when the clients of requests closed their connections, and which requests they sent again under
+// their ids. A nil Departures records nothing.
 type Departures struct {
-	mu sync.Mutex
-	at map[string]time.Time // by id
+	mu    sync.Mutex
+	at    map[string]time.Time // by id
+	again map[string]bool      // by id
+}
+
+// RecordAgain records that a request is sent again.
+func (d *Departures) RecordAgain(id uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.again == nil {
+		d.again = map[string]bool{}
+	}
+	d.again[fmt.Sprintf("%016x", id)] = true
+}
+
+// SentAgain reports whether a client has sent a request more than once. A host may repeat a read on its own.
+func (d *Departures) SentAgain(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.again[id]
 }
 
 // Record records that the connection of requests was closed.
@@ -232,8 +251,10 @@
 }
 
 // leaveAndRepeat sends a request, leaves, and sends it again under its id.
-func leaveAndRepeat(ctx context.Context, c net.Conn, rng *rand.Rand, _ *Departures) {
-	text := ReadRequest(HostileID(rng), rng.Uint64(), rng.Uint64(), time.Second)
+func leaveAndRepeat(ctx context.Context, c net.Conn, rng *rand.Rand, departures *Departures) {
+	id := HostileID(rng)
+	text := ReadRequest(id, rng.Uint64(), rng.Uint64(), time.Second)
+	departures.RecordAgain(id)
 	for ctx.Err() == nil {
 		_, _ = io.WriteString(c, text)
 		sleepFor(ctx, time.Duration(rng.Intn(40))*time.Millisecond)
--- a/internal/standin/usual.go
+++ b/internal/standin/usual.go
@@ -121,6 +121,7 @@
 	reused := c.used
 	status, took := c.exchange(text, within)
 	if status == 0 && reused && took < crossingTime && c.connect() {
+		c.u.Departures.RecordAgain(id)
 		status, took = c.exchange(text, within)
 	}
 	c.u.record(id, within, status, took, reused)
