limits, front, backend: memory counts as allocated, and what is there at rest counts

Requests that a node does not take were not counted. - A large incomplete request was discarded only for a smaller one, whatever their age.

Change: limits.Divide gets the memory at the start and divides what the runtime may take beyond it; the runtime's limit is set again every 5 s by what it does not count. http1.Buffer and http1.Append bound spare capacity; consuming does not move the rest (25,000 small requests in a buffer moved it 25,000 times). Requests count with their buffers, target, key, body and 2 KiB for structures. Unsent answers have a limit of their own. Answers belong to their outcome from the node to the client, without a copy, and count until released. At a limit what has kept most bytes for longest goes first (limits.MemoryRank). At most 128 KiB are held behind a request instead of 1 MiB.

TestTooMuchPipelined bounds the bytes held behind the open request as before; the request itself counts now, too.

--- a/internal/backend/http/answer.go
+++ b/internal/backend/http/answer.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	maxInterim       = 8        // 1xx responses before a final one
-	initialBodyBytes = 64 << 10 // largest capacity allocated before any of a body has arrived
+	maxInterim    = 8   // 1xx responses before a final one
+	maxFieldBytes = 512 // of a load report or a volume's use; a longer one is ignored
 )
 
 // responseReader reads one response incrementally. A response that exceeds a bound of package http1 is an error.
@@ -36,13 +36,19 @@
 	trailing     int // bytes received after the end of the response
 }
 
-// heldBytes returns how many bytes of the response are in memory.
-func (r *responseReader) heldBytes() int { return len(r.buf) + len(r.body) }
+// heldBytes returns how many bytes the response takes, as allocated.
+func (r *responseReader) heldBytes() int {
+	n := cap(r.buf) + cap(r.body) + len(r.volumeUse) + len(r.loadReport)
+	if r.chunks != nil {
+		n += r.chunks.Memory()
+	}
+	return n
+}
 
 // feed consumes bytes from the connection; done reports that the response is complete.
 func (r *responseReader) feed(p []byte) (done bool, err error) {
 	if !r.headParsed {
-		r.buf = append(r.buf, p...)
+		r.buf = http1.Append(r.buf, p, http1.MaxHead)
 		for {
 			h, n, err := http1.ParseResponse(r.buf, r.scanned)
 			if err == http1.ErrShort {
@@ -82,17 +88,14 @@
 		if len(r.body)+len(p) > http1.MaxBody {
 			return false, fmt.Errorf("a body of over %d bytes", http1.MaxBody)
 		}
-		r.body = append(r.body, p...)
+		r.body = http1.Append(r.body, p, http1.MaxBody)
 		return false, nil
 	default:
-		want := int(r.head.Body.Length) - len(r.body)
-		if len(p) >= want {
-			r.body = append(r.body, p[:want]...)
-			r.trailing = len(p) - want
-			return true, nil
-		}
-		r.body = append(r.body, p...)
-		return false, nil
+		length := int(r.head.Body.Length)
+		want := min(length-len(r.body), len(p))
+		r.body = http1.Append(r.body, p[:want], length)
+		r.trailing = len(p) - want
+		return len(r.body) == length, nil
 	}
 }
 
@@ -100,7 +103,7 @@
 func (r *responseReader) acceptHead(h http1.Response) error {
 	v, times := h.Header.Get("Not-Started")
 	r.notStarted = times == 1 && string(v) == "1"
-	r.volumeUse, r.loadReport = h.Header.SingleValue("X-Meter"), h.Header.SingleValue("Server-Load")
+	r.volumeUse, r.loadReport = shortValue(h.Header, "X-Meter"), shortValue(h.Header, "Server-Load")
 	r.headParsed, r.head = true, h
 	r.head.Header = nil
 	switch {
@@ -110,18 +113,25 @@
 		r.untilClose = true
 	case h.Body.Length > http1.MaxBody:
 		return fmt.Errorf("a body of %d bytes: expected %d at most", h.Body.Length, http1.MaxBody)
-	default:
-		r.body = make([]byte, 0, min(h.Body.Length, initialBodyBytes)) // little for a length that is only announced
 	}
 	return nil
 }
 
-// outcome maps a complete response to an outcome, by the table of package outcome.
-func (r *responseReader) outcome(fields []string) host.Outcome {
+// shortValue returns the value of a field that occurs exactly once and is not too long, otherwise the empty string.
+func shortValue(h http1.Header, name string) string {
+	if v, times := h.Get(name); times == 1 && len(v) <= maxFieldBytes {
+		return string(v)
+	}
+	return ""
+}
+
+// outcome maps a complete response to an outcome, by the table of package outcome. The body of a served one belongs to the
+// outcome from then on; released is called when that is released.
+func (r *responseReader) outcome(fields []string, released func(allocated int)) host.Outcome {
 	o := host.Outcome{Result: outcome.OfAnswer(r.head.Status, r.notStarted), VolumeUse: parseVolumeUse(r.volumeUse), Load: parseLoadReport(r.loadReport, fields)}
 	if o.Result == control.Done {
-		o.Data = buffer.Get(len(r.body))
-		copy(o.Data.B, r.body)
+		o.Data = buffer.Own(r.body, released)
+		r.body = nil
 	} else {
 		o.Text = "status " + strconv.Itoa(r.head.Status)
 	}
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -17,9 +17,14 @@
 // Buffer is a buffer from a pool. Its last user may Release it; a buffer that is never released is garbage-collected.
 type Buffer struct {
 	B        []byte
-	sizeBits int // log2 of the capacity; 0: not from a pool
+	sizeBits int                 // log2 of the capacity; 0: not from a pool
+	released func(allocated int) // see Own
 }
 
+// Own returns a buffer of bytes that are not from a pool. released is called, on any goroutine, with their capacity when the
+// buffer is released.
+func Own(b []byte, released func(allocated int)) *Buffer { return &Buffer{B: b, released: released} }
+
 // Get returns a buffer of n bytes with undefined content.
 func Get(n int) *Buffer {
 	sizeBits := max(minSizeBits, bits.Len(uint(max(n, 1)-1)))
@@ -36,6 +41,11 @@
 // Release returns the buffer to its pool. It must not be used afterwards. Release does nothing for a nil buffer, and
 // for one that has been reallocated.
 func (b *Buffer) Release() {
+	if b != nil && b.released != nil {
+		b.released(cap(b.B))
+		b.B, b.released = nil, nil
+		return
+	}
 	if b == nil || b.sizeBits == 0 || cap(b.B) != 1<<b.sizeBits {
 		return
 	}
--- /dev/null
+++ b/internal/front/http/accept.go
@@ -0,0 +1,104 @@
+package http
+
+import (
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"eiderhold/limits"
+)
+
+// accept accepts connections up to the limit, so that the process does not run out of file descriptors. Further
+// connections wait in the kernel's queue until another one has closed.
+func (f *Front) accept() {
+	pause := time.Millisecond
+	for {
+		if !f.reservePlace() {
+			return
+		}
+		c, err := f.ln.Accept()
+		if err != nil {
+			f.releasePlace()
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+				return
+			}
+			f.opt.Log.Warn("http front: accept", "err", err, "again_in", pause)
+			time.Sleep(pause) // out of descriptors; a later attempt may succeed
+			pause = min(2*pause, maxAcceptPause)
+			continue
+		}
+		pause = time.Millisecond
+		f.add(c)
+	}
+}
+
+// add adds an accepted connection to the event loop.
+func (f *Front) add(c net.Conn) {
+	if err := f.opt.Loop.Add(c, &conn{f: f}); err != nil {
+		f.releasePlace()
+		f.opt.Log.Warn("http front: cannot add a connection to the event loop", "err", err)
+	}
+}
+
+// reservePlace waits for a place for another connection. It returns false if there is none for those that are left in the
+// kernel's queue.
+func (f *Front) reservePlace() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.accepted >= f.opt.MaxConns && !f.closing {
+		f.opt.Loop.Post(f.evictIfFull)
+		f.changed.Wait()
+	}
+	if f.accepted >= f.opt.MaxConns {
+		return false
+	}
+	f.accepted++
+	return true
+}
+
+// releasePlace releases the place of a connection.
+func (f *Front) releasePlace() {
+	f.mu.Lock()
+	f.accepted--
+	f.changed.Broadcast()
+	f.mu.Unlock()
+}
+
+// usage returns the number of places in use and their limit. The place for the connection that accept waits for is
+// in use, too.
+func (f *Front) usage() (used, limit int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.accepted, f.opt.MaxConns
+}
+
+// evictIfFull closes the connection with the highest eviction rank if all places are in use.
+func (f *Front) evictIfFull() {
+	if used, limit := f.usage(); used < limit {
+		return
+	}
+	now := f.opt.Host.Now()
+	var worst *conn
+	worstRank := 0.0
+	for c := range f.conns {
+		if rank, evictable := limits.EvictionRank(now, c.state()); evictable && (worst == nil || rank > worstRank) {
+			worst, worstRank = c, rank
+		}
+	}
+	if worst != nil {
+		f.stats.Evicted++
+		f.opt.Loop.Close(worst.g) // at once: its place is needed
+	}
+}
+
+// StopListening accepts the connections already in the kernel's queue, then no more.
+func (f *Front) StopListening() {
+	f.mu.Lock()
+	f.closing = true
+	f.changed.Broadcast()
+	f.mu.Unlock()
+	if l, ok := f.ln.(*net.TCPListener); ok {
+		_ = l.SetDeadline(time.Now().Add(finalAcceptTimeout))
+	}
+}
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -1,7 +1,6 @@
 package http
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -13,12 +12,16 @@
 	"eiderhold/requestid"
 )
 
+const (
+	maxBufferedBytes = 128 << 10 // behind the present request: several hundred small requests
+)
+
 // conn is one client connection.
 type conn struct {
 	f          *Front
 	g          gnet.Conn
 	number     uint64 // in the order in which connections were opened, from 1
-	buf        []byte
+	buf        http1.Buffer
 	scanned    int           // bytes of buf already searched for the end of a head
 	headParsed bool          // the head of the present request is complete, its body may not be
 	pending    *host.Request // the request of that head; nil: a health check
@@ -30,7 +33,8 @@
 	req        *host.Request       // open at the host; nil: none
 	requestID  requestid.ID        // of req
 	hostID     uint64              // of req, as returned by Submit
-	bodyBytes  int                 // bytes of req's body, counted as held until its answer
+	held       int                 // bytes counted in Front.heldBytes
+	unsent     int                 // bytes counted in Front.unsentBytes
 	closeAfter bool                // the connection closes after the next answer
 	discarding bool                // input is discarded, and the connection closes after the next answer
 	hadRequest bool                // at least one complete request has been read
@@ -39,13 +43,14 @@
 	closed     bool
 	openedAt   time.Duration
 	stateSince time.Duration // when the connection began to receive, to write or to wait
+	inputSince time.Duration // when the oldest bytes that are held of incomplete requests came
 }
 
 // evict closes a connection that sends no request or does not read its answer. If unread bytes have arrived on it
 // meanwhile, it stays open and they are read.
 func (c *conn) evict() {
 	switch {
-	case c.flushing || !c.hadRequest && !c.state().PartialRequest && !loop.HasUnread(c.g): // no answer can be lost
+	case c.flushing || !c.hadRequest && !c.partialRequest() && !loop.HasUnread(c.g): // no answer can be lost
 		c.f.opt.Loop.Close(c.g)
 	case loop.HasUnread(c.g):
 		return
@@ -64,10 +69,13 @@
 
 // state returns the connection's state, from which package limits decides whether to evict it.
 func (c *conn) state() limits.Conn {
-	return limits.Conn{Open: c.req != nil, WritingAnswer: c.flushing, Closing: c.closing, HasRequested: c.hadRequest, PartialRequest: len(c.buf) > 0 || c.chunks != nil,
+	return limits.Conn{Open: c.req != nil, WritingAnswer: c.flushing, Closing: c.closing, HasRequested: c.hadRequest, PartialRequest: c.partialRequest(),
 		Opened: c.openedAt, Since: c.stateSince}
 }
 
+// partialRequest reports whether a request has been received in part.
+func (c *conn) partialRequest() bool { return c.buf.Len() > 0 || c.chunks != nil }
+
 // Opened registers a new connection.
 func (c *conn) Opened(g gnet.Conn) {
 	c.g = g
@@ -85,6 +93,7 @@
 	c.closed = true
 	delete(f.conns, c)
 	f.discardBuffered(c)
+	c.updateUnsent()
 	if c.req != nil {
 		f.stats.Left++
 		c.req.Abandon()
@@ -99,14 +108,12 @@
 	f.releasePlace()
 }
 
-// bufferedBytes returns how many bytes of incomplete requests are held.
-func (c *conn) bufferedBytes() int { return len(c.buf) + len(c.chunkData) }
-
 // discardBuffered discards the bytes of incomplete requests of a connection.
 func (f *Front) discardBuffered(c *conn) {
-	f.heldBytes -= int64(c.bufferedBytes())
-	c.buf, c.chunkData, c.chunks = nil, nil, nil
+	c.buf, c.chunkData, c.chunks, c.pending = http1.Buffer{}, nil, nil, nil
+	c.headParsed, c.scanned = false, 0
 	c.inputAge = requestid.InputAge{}
+	c.updateHeld()
 }
 
 // discardInput discards what is received behind the open request, or behind its answer while that is being written,
@@ -118,15 +125,15 @@
 
 // consume removes n bytes from the start of buf.
 func (c *conn) consume(n int) {
-	c.buf = c.buf[:copy(c.buf, c.buf[n:])]
-	c.f.heldBytes -= int64(n)
+	c.buf.Consume(n)
 	c.inputAge.Consume(n)
+	c.inputSince = c.f.opt.Host.Now()
 }
 
 // requestDone removes the open request, whose id has ended.
 func (c *conn) requestDone() {
-	c.f.heldBytes -= int64(c.bodyBytes)
-	c.req, c.bodyBytes = nil, 0
+	c.req = nil
+	c.updateHeld()
 	if c.f.ids.Full() {
 		c.f.opt.Loop.Post(c.f.rotateIDs)
 	}
@@ -139,26 +146,46 @@
 	if err != nil || c.closed {
 		return gnet.None
 	}
-	if c.finishFlush(); c.discarding || c.closing || c.closed {
-		return gnet.None
-	}
-	if len(c.buf) == 0 && c.chunks == nil && c.req == nil && !c.flushing {
+	c.finishFlush()
+	if !c.partialRequest() && c.req == nil && !c.flushing {
 		c.stateSince = c.f.opt.Host.Now()
 	}
-	busy := c.req != nil || c.flushing
-	short := !c.f.reclaimBytes(c, len(p))
-	if busy && (short || len(c.buf)+len(p) > maxBufferedBytes) {
-		c.discardInput()
-		return gnet.None
+	c.receive(p)
+	c.process()
+	return gnet.None
+}
+
+// receive buffers bytes from the client. Too many of them are discarded.
+func (c *conn) receive(p []byte) {
+	if c.discarding || c.closing || c.closed {
+		return
 	}
-	if short {
-		c.reject(503, "more bytes of requests held than allowed")
-		return gnet.None
+	if c.bufferedBytes() == 0 {
+		c.inputSince = c.f.opt.Host.Now()
 	}
-	c.f.heldBytes += int64(len(p))
-	c.buf = append(c.buf, p...)
-	c.processBuffered()
-	return gnet.None
+	if c.buf.Len()+len(p) > c.presentBytes()+maxBufferedBytes {
+		c.shed()
+		return
+	}
+	c.buf.Append(p, c.expectedBytes(c.buf.Len()+len(p)))
+	c.updateHeld()
+	c.f.reclaimHeld()
+}
+
+// presentBytes returns the length of the request that is being read, as far as its head tells.
+func (c *conn) presentBytes() int {
+	if c.headParsed && c.chunks == nil {
+		return c.messageLen
+	}
+	return 0
+}
+
+// expectedBytes returns how many bytes buf is expected to hold at most, if it has to hold the needed ones now.
+func (c *conn) expectedBytes(needed int) int {
+	if n := c.presentBytes(); n >= needed {
+		return n
+	}
+	return c.presentBytes() + maxBufferedBytes
 }
 
 // finishFlush ends the state in which an answer is being written, if that is now written completely. A client sends its
@@ -168,27 +195,29 @@
 		return
 	}
 	c.flushing = false
+	c.updateUnsent()
 	c.stateSince = c.f.opt.Host.Now()
 	if c.discarding {
 		c.finish()
 		return
 	}
-	c.processBuffered()
+	c.process()
 }
 
-// processBuffered reads buffered requests until one is open.
-func (c *conn) processBuffered() {
-	for c.req == nil && !c.flushing && !c.closing && !c.closed && len(c.buf) > 0 {
+// process reads buffered requests until one is open.
+func (c *conn) process() {
+	for c.req == nil && !c.flushing && !c.closing && !c.closed && c.buf.Len() > 0 {
 		complete, err := c.readRequest()
 		if err != nil {
 			c.reject(statusOf(err), err.Error())
 			return
 		}
 		if !complete {
-			return
+			break
 		}
 		c.submit()
 	}
+	c.updateHeld()
 }
 
 // readRequest reads as much of the present request as has arrived. complete reports that it can be submitted.
@@ -201,20 +230,20 @@
 	if c.chunks != nil {
 		return c.decodeChunks()
 	}
-	return len(c.buf) >= c.messageLen, nil
+	return c.buf.Len() >= c.messageLen, nil
 }
 
 // readHead reads the head of a request, after empty lines. headParsed is then true unless the head is incomplete.
 func (c *conn) readHead() error {
-	if n := http1.LeadingEmptyLines(c.buf); n > 0 {
+	if n := http1.LeadingEmptyLines(c.buf.Bytes()); n > 0 {
 		c.scanned = 0
-		if c.consume(n); len(c.buf) == 0 {
+		if c.consume(n); c.buf.Len() == 0 {
 			return nil
 		}
 	}
-	h, n, err := http1.ParseRequest(c.buf, c.scanned)
+	h, n, err := http1.ParseRequest(c.buf.Bytes(), c.scanned)
 	if err == http1.ErrShort {
-		c.scanned = len(c.buf)
+		c.scanned = c.buf.Len()
 		return nil
 	}
 	if err != nil {
@@ -226,11 +255,12 @@
 // decodeChunks moves the data of a chunked body from buf to chunkData. done reports that the body is complete; buf
 // then holds what follows it.
 func (c *conn) decodeChunks() (done bool, err error) {
-	before := len(c.chunkData)
-	data, rest, done, err := c.chunks.Feed(c.chunkData, c.buf)
+	received := c.buf.Bytes()
+	data, rest, done, err := c.chunks.Feed(c.chunkData, received)
 	c.chunkData = data
-	c.f.heldBytes += int64(len(data) - before)
-	c.consume(len(c.buf) - len(rest))
+	since := c.inputSince
+	c.consume(len(received) - len(rest))
+	c.inputSince = since
 	return done, err
 }
 
@@ -252,7 +282,7 @@
 	case string(h.Method) != "GET":
 		return newRequestError(405, "method of /_health: expected GET")
 	}
-	expects := h.Minor > 0 && http1.ExpectsContinue(h.Header) && len(c.buf) == n
+	expects := h.Minor > 0 && http1.ExpectsContinue(h.Header) && c.buf.Len() == n
 	if h.Body.Chunked {
 		c.chunks = &http1.ChunkDecoder{Max: http1.MaxBody}
 		c.consume(n)
@@ -279,8 +309,9 @@
 	}
 	f := c.f
 	requestID, _ := requestid.Parse(r.Message.ID) // valid: rules.parse has checked it
-	if !f.ids.Take(requestID, c.number) {
+	if begun := f.ids.Begun(requestID); !f.ids.Take(requestID, c.number) {
 		f.stats.Duplicate++
+		f.events.Info("http front: a request with the id of another one is refused", "conn", c.number, "request", r.Message.ID, "has_begun", begun)
 		c.respond(409, "", []byte("Request-Id: another request has used it\n"))
 		return
 	}
@@ -296,92 +327,23 @@
 		c.respond(503, formatRetryAfter(limits.RetryDelay), []byte(err.Error()+"\n"))
 		return
 	}
-	c.req, c.requestID, c.hostID, c.bodyBytes = r, requestID, hostID, len(r.Message.Body)
-	f.heldBytes += int64(c.bodyBytes)
+	c.req, c.requestID, c.hostID = r, requestID, hostID
+	c.updateHeld()
+	f.reclaimHeld()
 }
 
 // takeRequest removes the complete request from the buffers and returns it with its body; nil: a health check.
 func (c *conn) takeRequest() *host.Request {
 	r, body := c.pending, c.chunkData
 	if c.chunks == nil {
-		body = append([]byte(nil), c.buf[c.headLen:c.messageLen]...)
+		body = append([]byte(nil), c.buf.Bytes()[c.headLen:c.messageLen]...)
 		c.consume(c.messageLen)
 	}
 	c.inputAge.Complete()
-	c.f.heldBytes -= int64(len(c.chunkData))
 	c.chunks, c.chunkData = nil, nil
-	if len(c.buf) == 0 {
-		c.buf = nil
-	}
-	c.headParsed, c.pending, c.scanned, c.hadRequest = false, nil, 0, true
+	c.headParsed, c.pending, c.scanned, c.messageLen, c.hadRequest = false, nil, 0, 0, true
 	if r != nil && len(body) > 0 {
 		r.Message.Body = body
 	}
 	return r
 }
-
-// deliver writes the host's final answer to the client.
-func (c *conn) deliver(r *host.Request, a host.Answer) {
-	defer a.Data.Release()
-	if c.closed || c.req != r {
-		return
-	}
-	f := c.f
-	if r.Begun() {
-		f.ids.EndBegun(c.requestID)
-	} else {
-		f.ids.End(c.requestID)
-	}
-	c.requestDone()
-	switch a.Kind {
-	case host.Served:
-		f.stats.Served++
-		c.respond(200, "", a.Data.B)
-	case host.Refused:
-		f.stats.Refused++
-		c.respond(503, formatRetryAfter(a.RetryAfter), nil)
-	default:
-		f.stats.Failed++
-		c.respond(504, "", []byte(a.Cause+"\n"))
-	}
-	c.processBuffered()
-}
-
-// formatRetryAfter returns the value of a Retry-After header, in seconds.
-func formatRetryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
-
-// reject answers an invalid request and closes the connection, because the bytes that follow may belong to it.
-func (c *conn) reject(status int, text string) {
-	c.f.stats.Wrong++
-	c.closeAfter = true
-	c.f.discardBuffered(c)
-	retryIn := ""
-	if status == 503 {
-		retryIn = formatRetryAfter(limits.RetryDelay)
-	}
-	c.respond(status, retryIn, []byte(text+"\n"))
-}
-
-// respond writes one answer and closes the connection if no further request is served on it.
-func (c *conn) respond(status int, retryAfter string, body []byte) {
-	closeConn := c.closeAfter || c.discarding || c.f.draining || !c.f.keepAlive && !limits.KeepAlive(c.f.usage())
-	b := make([]byte, 0, 192+len(body))
-	b = http1.AppendStatus(b, status)
-	b = http1.AppendIntField(b, "Content-Length", int64(len(body)))
-	if retryAfter != "" {
-		b = http1.AppendField(b, "Retry-After", retryAfter)
-	}
-	if closeConn {
-		b = http1.AppendField(b, "Connection", "close")
-	}
-	b = append(http1.AppendEnd(b), body...)
-	if _, err := c.g.Write(b); err != nil || c.closed {
-		return
-	}
-	c.stateSince = c.f.opt.Host.Now()
-	if closeConn {
-		c.finish()
-		return
-	}
-	c.flushing = c.g.OutboundBuffered() > 0
-}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -10,15 +10,14 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"eiderhold/control"
 	"eiderhold/internal/host"
-	"eiderhold/internal/http1"
 	"eiderhold/internal/loop"
+	"eiderhold/internal/telemetry"
 	"eiderhold/limits"
 	"eiderhold/requestid"
 )
@@ -28,7 +27,6 @@
 	finalAcceptTimeout = 20 * time.Millisecond  // for connections in the kernel's queue when listening ends
 	maxAcceptPause     = 100 * time.Millisecond // longest pause after a failed accept
 	bindTimeout        = 3 * time.Second        // the previous process may still hold the address
-	maxBufferedBytes   = http1.MaxHead + http1.MaxBody
 )
 
 // Host serves requests; internal/host implements it.
@@ -44,6 +42,8 @@
 	Settings        control.Settings
 	MaxConns        int   // most connections at a time
 	MaxRequestBytes int64 // most bytes of requests in memory
+	MaxUnsentBytes  int64 // most bytes of answers that clients have not taken; beside these, one answer at a time
+	MaxIDs          int   // limit of the ids that are remembered, see requestid.NewTracker; 0: its default
 	Host            Host
 	Ready           func() bool // reports whether the host can serve requests
 	Loop            *loop.Loop
@@ -65,9 +65,11 @@
 
 	// The remaining fields are accessed only on the loop.
 	conns         map[*conn]bool
-	ids           requestid.Tracker
+	ids           *requestid.Tracker
 	opened        uint64 // connections opened since the start
-	heldBytes     int64
+	heldBytes     int64  // of requests
+	unsentBytes   int64  // of answers that clients have not taken
+	events        *telemetry.Limited
 	keepAlive     bool
 	draining      bool
 	deadlineLimit time.Duration // requests end at this time of the host's clock; 0: no limit
@@ -77,16 +79,19 @@
 // Stats are counters since the start; Conns, Open and Held are current values. Accepted counts connections, Wrong
 // requests rejected by the front, Late those of them that did not arrive in time, Duplicate requests with the id of
 // another one, Left open requests whose clients have gone, and Evicted connections that were idle too long or made room
-// for others.
+// for others. Shed counts incomplete requests discarded for lack
+// of memory, Unread connections closed for lack of memory as they did not read their answers. Held and Unsent are bytes of requests and of
+// answers that clients have not taken, as allocated, HeldPeak and UnsentPeak their highest values.
 type Stats struct {
 	Accepted, Requests, Served, Refused, Failed, Wrong, Left, Evicted, Late, Duplicate uint64
+	Shed, Unread                                                                       uint64
 	Conns, Open                                                                        int
-	Held                                                                               int64
+	Held, HeldPeak, Unsent, UnsentPeak                                                 int64
 }
 
 // Start listens on the configured address and serves clients.
 func Start(opt Options) (*Front, error) {
-	f := &Front{opt: opt, rules: newRules(opt.Settings), conns: map[*conn]bool{}}
+	f := &Front{opt: opt, rules: newRules(opt.Settings), conns: map[*conn]bool{}, ids: requestid.NewTracker(opt.MaxIDs), events: telemetry.NewLimited(opt.Log)}
 	f.changed = sync.NewCond(&f.mu)
 	var err error
 	for until := time.Now().Add(bindTimeout); ; time.Sleep(20 * time.Millisecond) {
@@ -100,7 +105,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.background.Add(2)
-	go func() { defer f.background.Done(); f.accept() }()
+	go func() { defer f.background.Done(); defer f.ln.Close(); f.accept() }()
 	go func() { defer f.background.Done(); opt.Loop.Every(ctx, sweepInterval, f.sweep) }()
 	return f, nil
 }
@@ -112,63 +117,11 @@
 func (f *Front) Stats(fn func(Stats)) {
 	f.opt.Loop.Post(func() {
 		s := f.stats
-		s.Conns, s.Open, s.Held = len(f.conns), f.ids.Open(), f.heldBytes
+		s.Conns, s.Open, s.Held, s.Unsent = len(f.conns), f.ids.Open(), f.heldBytes, f.unsentBytes
 		fn(s)
 	})
 }
 
-// accept accepts connections up to the limit, so that the process does not run out of file descriptors. Further
-// connections wait in the kernel's queue until another one has closed.
-func (f *Front) accept() {
-	defer f.ln.Close()
-	pause := time.Millisecond
-	for {
-		f.mu.Lock()
-		for f.accepted >= f.opt.MaxConns && !f.closing {
-			f.opt.Loop.Post(f.evictIfFull)
-			f.changed.Wait()
-		}
-		if f.accepted >= f.opt.MaxConns { // no place for the connections in the kernel's queue
-			f.mu.Unlock()
-			return
-		}
-		f.accepted++
-		f.mu.Unlock()
-		c, err := f.ln.Accept()
-		if err != nil {
-			f.releasePlace()
-			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-				return
-			}
-			f.opt.Log.Warn("http front: accept", "err", err, "again_in", pause)
-			time.Sleep(pause) // out of descriptors; a later attempt may succeed
-			pause = min(2*pause, maxAcceptPause)
-			continue
-		}
-		pause = time.Millisecond
-		if err := f.opt.Loop.Add(c, &conn{f: f}); err != nil {
-			f.releasePlace()
-			f.opt.Log.Warn("http front: cannot add a connection to the event loop", "err", err)
-		}
-	}
-}
-
-// releasePlace releases the place of a connection.
-func (f *Front) releasePlace() {
-	f.mu.Lock()
-	f.accepted--
-	f.changed.Broadcast()
-	f.mu.Unlock()
-}
-
-// usage returns the number of places in use and their limit. The place for the connection that accept waits for is
-// in use, too.
-func (f *Front) usage() (used, limit int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.accepted, f.opt.MaxConns
-}
-
 // sweep closes connections whose time is over.
 func (f *Front) sweep() {
 	now := f.opt.Host.Now()
@@ -205,7 +158,7 @@
 		return
 	}
 	for c := range f.conns {
-		if !c.inputAge.Rotate(len(c.buf), c.headParsed) || c.closing {
+		if !c.inputAge.Rotate(c.buf.Len(), c.headParsed) || c.closing {
 			continue
 		}
 		if c.req != nil || c.flushing {
@@ -218,25 +171,6 @@
 	f.ids.Rotate(now)
 }
 
-// evictIfFull closes the connection with the highest eviction rank if all places are in use.
-func (f *Front) evictIfFull() {
-	if used, limit := f.usage(); used < limit {
-		return
-	}
-	now := f.opt.Host.Now()
-	var worst *conn
-	worstRank := 0.0
-	for c := range f.conns {
-		if rank, evictable := limits.EvictionRank(now, c.state()); evictable && (worst == nil || rank > worstRank) {
-			worst, worstRank = c, rank
-		}
-	}
-	if worst != nil {
-		f.stats.Evicted++
-		f.opt.Loop.Close(worst.g) // at once: its place is needed
-	}
-}
-
 // LimitDeadlines limits the deadline of further requests to a time of the host's clock, even if their clients would
 // wait longer.
 func (f *Front) LimitDeadlines(until time.Duration) {
@@ -289,38 +223,9 @@
 	})
 }
 
-// StopListening accepts the connections already in the kernel's queue, then no more.
-func (f *Front) StopListening() {
-	f.mu.Lock()
-	f.closing = true
-	f.changed.Broadcast()
-	f.mu.Unlock()
-	if l, ok := f.ln.(*net.TCPListener); ok {
-		_ = l.SetDeadline(time.Now().Add(finalAcceptTimeout))
-	}
-}
-
 // Close stops listening and waits for the front's goroutines. The connections end with the loop.
 func (f *Front) Close() {
 	f.StopListening()
 	f.cancel()
 	f.background.Wait()
 }
-
-// reclaimBytes reports whether n more bytes may be held for a connection. If necessary it refuses the connections
-// that hold the most bytes of an incomplete request.
-func (f *Front) reclaimBytes(c *conn, n int) bool {
-	for f.heldBytes+int64(n) > f.opt.MaxRequestBytes {
-		var largest *conn
-		for o := range f.conns {
-			if o != c && o.req == nil && !o.flushing && !o.closing && (largest == nil || o.bufferedBytes() > largest.bufferedBytes()) {
-				largest = o
-			}
-		}
-		if largest == nil || !limits.EvictForRequest(largest.bufferedBytes(), c.bufferedBytes()+n) {
-			return false
-		}
-		largest.reject(503, "more bytes of requests held than allowed")
-	}
-	return true
-}
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -36,8 +36,8 @@
 type rules struct {
 	classes  map[string]control.Class
 	plans    map[string]string // to the name as the settings hold it
-	shards   int     // 0: unknown
-	maxUnits float64 // 0: unknown
+	shards   int               // 0: unknown
+	maxUnits float64           // 0: unknown
 }
 
 func newRules(settings control.Settings) rules {
--- a/internal/http1/chunks.go
+++ b/internal/http1/chunks.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 )
 
 // ChunkDecoder decodes a chunked body (RFC 9112, 7.1) that is fed in pieces of any size.
@@ -34,7 +35,7 @@
 			return dst, b, true, nil
 		case stateData:
 			n := min(int64(len(b)), c.remaining)
-			dst, b, c.remaining = append(dst, b[:n]...), b[n:], c.remaining-n
+			dst, b, c.remaining = Append(dst, b[:n], c.most()), b[n:], c.remaining-n
 			if c.remaining > 0 {
 				return dst, nil, false, nil
 			}
@@ -72,6 +73,20 @@
 	}
 }
 
+// most returns the largest length of the body.
+func (c *ChunkDecoder) most() int {
+	if c.Max > 0 {
+		return int(c.Max)
+	}
+	return math.MaxInt
+}
+
+// Memory returns the number of bytes that the decoder takes, without the body.
+func (c *ChunkDecoder) Memory() int {
+	const structBytes = 96
+	return structBytes + cap(c.partialLine)
+}
+
 // readLine reads one line, including the part of it that earlier calls have stored.
 func (c *ChunkDecoder) readLine(b []byte) (line, rest []byte, ok bool, err error) {
 	i := bytes.IndexByte(b, '\n')
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"runtime/metrics"
 	"sync/atomic"
 	"syscall"
@@ -24,6 +23,7 @@
 	"eiderhold/internal/host"
 	"eiderhold/internal/loop"
 	"eiderhold/limits"
+	"eiderhold/requestid"
 	"eiderhold/shutdown"
 )
 
@@ -47,6 +47,7 @@
 	front   *front.Front
 
 	hasNodeList atomic.Bool // a node list has arrived
+	memoryLimit int64       // of the process, in bytes
 	cancel      context.CancelFunc
 	hostEnded   chan struct{}
 	hostErr     error
@@ -62,10 +63,12 @@
 
 // Start starts a host. It accepts requests when Start returns.
 func Start(cfg *Config, log *slog.Logger) (*Server, error) {
-	split := limits.Divide(cfg.Limits.Sockets, int64(cfg.Limits.MemoryMB*(1<<20)))
 	runtime.GOMAXPROCS(maxProcs)
-	debug.SetMemoryLimit(split.HeapBytes)
-	s := &Server{cfg: cfg, log: log, hostEnded: make(chan struct{})}
+	s := &Server{cfg: cfg, log: log, hostEnded: make(chan struct{}), memoryLimit: int64(cfg.Limits.MemoryMB * (1 << 20))}
+	atStart := memory(s.memoryLimit)
+	split := limits.Divide(cfg.Limits.Sockets, atStart, limits.ItemSizes{Name: control.BytesPerName, ID: requestid.BytesPerID})
+	s.limitHeap()
+	cfg.control.MaxNames = split.MaxNames
 	var err error
 	if s.loop, err = loop.Start(log); err != nil {
 		return nil, err
@@ -93,7 +96,7 @@
 	}()
 	go s.feed.Run(ctx)
 	s.front, err = front.Start(front.Options{Listen: cfg.Listen, Settings: cfg.control, MaxConns: split.ClientConns,
-		MaxRequestBytes: split.RequestBytes, Host: s.host, Ready: s.hasNodeList.Load, Loop: s.loop, Log: log})
+		MaxRequestBytes: split.RequestBytes, MaxUnsentBytes: split.UnsentBytes, MaxIDs: split.MaxIDs, Host: s.host, Ready: s.hasNodeList.Load, Loop: s.loop, Log: log})
 	if err != nil {
 		cancel()
 		return nil, err
@@ -104,6 +107,9 @@
 	log.Info("serving", "listen", s.front.Addr(), "discovery", cfg.Discovery, "cores", cfg.Limits.Cores,
 		"memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets, "clients", split.ClientConns, "nodes", split.NodeConns,
 		"requests", split.MaxRequests, "hosts", cfg.control.Hosts, "idle", cfg.conns.IdleTimeout, "dial_timeout", cfg.conns.DialTimeout)
+	log.Info("memory", "limit", atStart.Limit, "resident", atStart.Resident, "runtime", atStart.Runtime, "heap", atStart.HeapBytes(),
+		"request_bytes", split.RequestBytes, "answer_bytes", split.AnswerBytes, "unsent_bytes", split.UnsentBytes, "list_bytes", split.ListBytes,
+		"names", split.MaxNames, "ids", split.MaxIDs)
 	return s, nil
 }
 
@@ -140,6 +146,7 @@
 			}
 			return err
 		case <-ticker.C:
+			s.limitHeap()
 			s.logStats()
 			s.logNodes()
 		case sig := <-signals:
@@ -249,6 +256,7 @@
 	h, d := s.host.Stats(), s.feed.State()
 	var cpu syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &cpu)
+	status, _ := os.ReadFile("/proc/self/status")
 	done := make(chan struct{})
 	s.front.Stats(func(f front.Stats) {
 		s.backend.Stats(func(b backend.Stats) {
@@ -262,6 +270,7 @@
 				slog.Group("discovery", "rev", d.Rev, "nodes", d.Nodes, "watching", d.Watching, "watches", d.Requests, "unanswered", d.Unanswered, "answer", d.AnswerTime, "passed", d.Skipped),
 				slog.Group("process", "heap", samples[0].Value.Uint64(), "memory", samples[1].Value.Uint64(),
 					"goroutines", samples[2].Value.Uint64(), "collections", samples[3].Value.Uint64(), "maxrss_kb", cpu.Maxrss,
+					"resident", statusBytes(status, "VmRSS"), "resident_file", statusBytes(status, "RssFile"),
 					"user", time.Duration(cpu.Utime.Nano()), "system", time.Duration(cpu.Stime.Nano())))
 		})
 	})
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -5,43 +5,93 @@
 
 import "time"
 
-// The division of descriptors and memory. Clients need at most a third of the descriptors for requests; their share
-// is larger to leave room for connections without a request.
+// The division of descriptors. Clients need at most a third of them for requests; their share is larger to leave room for
+// connections without a request.
 const (
 	reservedDescriptors = 28   // standard streams, event loops, listener, discovery, and a reserve
 	clientsFraction     = 0.58 // of the remaining descriptors
 	nodesFraction       = 0.34 // the rest is for sockets that are moved between owners
-	heapFraction        = 0.55 // of the memory; garbage collection costs more the closer the heap comes to it
-	bufferFraction      = 0.12 // of the memory, for requests, and as much for incomplete answers
-	requestBytes        = 8 << 10
 )
 
+// The division of the memory that is left for serving. What is not given out here is for connections, and for the garbage
+// between two collections.
+const (
+	requestsFraction = 0.16 // requests without an answer
+	answersFraction  = 0.08 // answers from nodes
+	unsentFraction   = 0.08 // answers that clients have not taken
+	listsFraction    = 0.12 // the node list
+	namesFraction    = 0.10 // what is remembered by the names that clients give
+	idsFraction      = 0.07 // ids of requests that have ended
+)
+
+// What a host needs in any case.
+const (
+	reserveFraction = 0.05    // of the limit: for what the runtime does not count, until it is measured again
+	leastHeap       = 0.3     // of the limit: collecting for less would take most of the processor
+	leastNames      = 1 << 10 // volumes of usual clients at a time
+	leastIDs        = 6 << 10 // requests in the 6 s for which an id is remembered, at several times the usual rate
+	leastRequests   = 64      // open at a time
+	leastListBytes  = 2 << 20 // some thousand nodes
+)
+
+// Memory is the memory of a process at a time.
+type Memory struct {
+	Limit    int64 // over this resident size the process is killed
+	Resident int64 // the present resident size, with the pages of the program's file
+	Runtime  int64 // the part of it that the Go runtime counts against its own limit
+}
+
+// HeapBytes returns the limit for the Go runtime. What it does not count, such as the pages of the program's file, has to
+// find room beside it.
+func (m Memory) HeapBytes() int64 {
+	reserve := int64(reserveFraction * float64(m.Limit))
+	return max(int64(leastHeap*float64(m.Limit)), m.Limit-(m.Resident-m.Runtime)-reserve)
+}
+
 // Split is a division of the resources of a process.
 type Split struct {
 	ClientConns  int   // connections from clients
 	NodeConns    int   // connections to nodes
-	HeapBytes    int64 // soft memory limit of the Go runtime
-	RequestBytes int64 // buffered bytes of requests without an answer
-	AnswerBytes  int64 // buffered bytes of incomplete answers from nodes
+	RequestBytes int64 // bytes of requests without an answer
+	AnswerBytes  int64 // bytes of answers from nodes that have not been passed on
+	UnsentBytes  int64 // bytes of answers that clients have not taken
+	ListBytes    int64 // bytes of the node list
 	MaxRequests  int   // maximum of open requests
+	MaxNames     int   // see control.Settings
+	MaxIDs       int   // see requestid.NewTracker
 }
 
-// Divide divides the descriptors and bytes of memory that a process may use.
-func Divide(descriptors int, memory int64) Split {
-	free := max(8, descriptors-reservedDescriptors)
+// ItemSizes are the bytes that one item of each kind takes that is counted by number.
+type ItemSizes struct{ Name, ID int }
+
+// Divide divides the descriptors, and the memory that is left at the start, before the host serves.
+func Divide(descriptors int, memory Memory, sizes ItemSizes) Split {
+	conns := max(8, descriptors-reservedDescriptors)
+	free := max(1, memory.HeapBytes()-memory.Runtime)
+	part := func(fraction float64) int64 { return int64(fraction * float64(free)) }
 	return Split{
-		ClientConns:  max(2, int(clientsFraction*float64(free))),
-		NodeConns:    max(2, int(nodesFraction*float64(free))),
-		HeapBytes:    int64(heapFraction * float64(memory)),
-		RequestBytes: int64(bufferFraction * float64(memory)),
-		AnswerBytes:  int64(bufferFraction * float64(memory)),
-		MaxRequests:  max(64, int(bufferFraction*float64(memory)/requestBytes)),
+		ClientConns:  max(2, int(clientsFraction*float64(conns))),
+		NodeConns:    max(2, int(nodesFraction*float64(conns))),
+		RequestBytes: part(requestsFraction),
+		AnswerBytes:  part(answersFraction),
+		UnsentBytes:  part(unsentFraction),
+		ListBytes:    max(leastListBytes, part(listsFraction)),
+		MaxRequests:  max(leastRequests, int(part(requestsFraction)/RequestOverhead)),
+		MaxNames:     max(leastNames, int(part(namesFraction))/sizes.Name),
+		MaxIDs:       max(leastIDs, int(part(idsFraction))/sizes.ID),
 	}
 }
 
-// EvictForRequest reports whether a connection that holds heldBytes of an incomplete request is closed in favour of a
-// request of newBytes, when there is no room for both. It guards against clients that begin hundreds of large requests.
-func EvictForRequest(heldBytes, newBytes int) bool { return heldBytes > newBytes }
+// RequestOverhead is what a request takes in all parts of the process, without its target and its body.
+const RequestOverhead = 2 << 10
+
+// MemoryRank orders connections when memory is short: the one with the highest rank has to give up what it holds. It grows
+// with the bytes and with the time for which they have been held. A usual client completes even a large request soon; one
+// that writes slowly, or stops in the middle, holds less for long.
+func MemoryRank(bytes int, age time.Duration) float64 {
+	const leastAge = 10 * time.Millisecond // so that new ones are compared by their bytes
+	return float64(bytes) * max(age, leastAge).Seconds()
+}
 
 // RetryDelay is the retry delay given to a client that is refused for lack of room.
 const RetryDelay = 500 * time.Millisecond
