front/http: connections with many requests take turns, and a turn of the loop is bounded

Cause: processBuffered answered all requests in a buffer in one go. A turn of the loop read 64 KiB from each connection, some 1,800 health checks with a write each: 0.1 s of processor time, 0.4 s on a quarter of a core, and a request needs four turns. A function that posts itself would not have helped: gnet empties its queue before it looks at the sockets again.

Loop.PostNext runs the next round after the events that wait. A turn reads 16 KiB from a connection. Empty lines in front of a request are refused after 256 bytes, and no longer count as the begin of a request: clients that sent nothing else were never closed. New: stats Deferred, process.loop_lag (longest wait of a posted function).

--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -38,7 +38,7 @@
 		f.stats.Failed++
 		c.respond(504, "", []byte(a.Cause+"\n"))
 	}
-	c.process()
+	c.process(1)
 }
 
 // formatRetryAfter returns the value of a Retry-After header, in seconds.
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	maxBufferedBytes = 128 << 10 // behind the present request: several hundred small requests
+	maxBufferedBytes  = 128 << 10 // behind the present request: several hundred small requests
+	maxEmptyLineBytes = 256       // of empty lines in front of a request
 )
 
 // conn is one client connection.
@@ -33,8 +34,10 @@
 	req        *host.Request       // open at the host; nil: none
 	requestID  requestid.ID        // of req
 	hostID     uint64              // of req, as returned by Submit
+	emptyBytes int                 // of empty lines in front of the present request
 	held       int                 // bytes counted in Front.heldBytes
 	unsent     int                 // bytes counted in Front.unsentBytes
+	scheduled  bool                // in Front.ready
 	closeAfter bool                // the connection closes after the next answer
 	discarding bool                // input is discarded, and the connection closes after the next answer
 	hadRequest bool                // at least one complete request has been read
@@ -147,11 +150,12 @@
 		return gnet.None
 	}
 	c.finishFlush()
-	if !c.partialRequest() && c.req == nil && !c.flushing {
+	wasIdle := !c.partialRequest() && c.req == nil && !c.flushing
+	c.receive(p)
+	c.process(1)
+	if wasIdle && c.partialRequest() && c.req == nil && !c.flushing {
 		c.stateSince = c.f.opt.Host.Now()
 	}
-	c.receive(p)
-	c.process()
 	return gnet.None
 }
 
@@ -201,23 +205,30 @@
 		c.finish()
 		return
 	}
-	c.process()
+	c.process(1)
 }
 
-// process reads buffered requests until one is open.
-func (c *conn) process() {
-	for c.req == nil && !c.flushing && !c.closing && !c.closed && c.buf.Len() > 0 {
+// process reads buffered requests until one is open, at most the given number of them, and returns how many it has read.
+// The connection is scheduled if there may be more.
+func (c *conn) process(most int) (handled int) {
+	for !c.scheduled && c.req == nil && !c.flushing && !c.closing && !c.closed && c.buf.Len() > 0 {
+		if handled == most {
+			c.f.schedule(c)
+			return handled
+		}
 		complete, err := c.readRequest()
 		if err != nil {
 			c.reject(statusOf(err), err.Error())
-			return
+			return handled + 1
 		}
 		if !complete {
 			break
 		}
 		c.submit()
+		handled++
 	}
 	c.updateHeld()
+	return handled
 }
 
 // readRequest reads as much of the present request as has arrived. complete reports that it can be submitted.
@@ -236,6 +247,9 @@
 // readHead reads the head of a request, after empty lines. headParsed is then true unless the head is incomplete.
 func (c *conn) readHead() error {
 	if n := http1.LeadingEmptyLines(c.buf.Bytes()); n > 0 {
+		if c.emptyBytes += n; c.emptyBytes > maxEmptyLineBytes {
+			return newRequestError(400, "over %d bytes of empty lines in front of a request", maxEmptyLineBytes)
+		}
 		c.scanned = 0
 		if c.consume(n); c.buf.Len() == 0 {
 			return nil
@@ -270,7 +284,7 @@
 		return newRequestError(413, "a body of %d bytes: %d at most", h.Body.Length, http1.MaxBody)
 	}
 	c.closeAfter = h.Close
-	c.headParsed = true
+	c.headParsed, c.emptyBytes = true, 0
 	c.inputAge.Begin()
 	switch {
 	case !isHealthCheck(h):
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -64,27 +64,30 @@
 	closing  bool // only connections already in the kernel's queue are accepted
 
 	// The remaining fields are accessed only on the loop.
-	conns         map[*conn]bool
-	ids           *requestid.Tracker
-	opened        uint64 // connections opened since the start
-	heldBytes     int64  // of requests
-	unsentBytes   int64  // of answers that clients have not taken
-	events        *telemetry.Limited
-	keepAlive     bool
-	draining      bool
-	deadlineLimit time.Duration // requests end at this time of the host's clock; 0: no limit
-	stats         Stats
+	conns          map[*conn]bool
+	ids            *requestid.Tracker
+	opened         uint64  // connections opened since the start
+	ready          []*conn // with further requests to read, see schedule
+	roundScheduled bool
+	heldBytes      int64 // of requests
+	unsentBytes    int64 // of answers that clients have not taken
+	events         *telemetry.Limited
+	keepAlive      bool
+	draining       bool
+	deadlineLimit  time.Duration // requests end at this time of the host's clock; 0: no limit
+	stats          Stats
 }
 
 // Stats are counters since the start; Conns, Open and Held are current values. Accepted counts connections, Wrong
 // requests rejected by the front, Late those of them that did not arrive in time, Duplicate requests with the id of
 // another one, Left open requests whose clients have gone, and Evicted connections that were idle too long or made room
-// for others. Shed counts incomplete requests discarded for lack
-// of memory, Unread connections closed for lack of memory as they did not read their answers. Held and Unsent are bytes of requests and of
+// for others. Deferred counts how often requests of a connection had to wait for those of others, Shed incomplete
+// requests discarded for lack of memory, and Unread connections closed for lack of memory as they did not read their
+// answers. Held and Unsent are bytes of requests and of
 // answers that clients have not taken, as allocated, HeldPeak and UnsentPeak their highest values.
 type Stats struct {
 	Accepted, Requests, Served, Refused, Failed, Wrong, Left, Evicted, Late, Duplicate uint64
-	Shed, Unread                                                                       uint64
+	Deferred, Shed, Unread                                                             uint64
 	Conns, Open                                                                        int
 	Held, HeldPeak, Unsent, UnsentPeak                                                 int64
 }
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -257,6 +257,7 @@
 	var cpu syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &cpu)
 	status, _ := os.ReadFile("/proc/self/status")
+	lag := s.loop.Lag()
 	done := make(chan struct{})
 	s.front.Stats(func(f front.Stats) {
 		s.backend.Stats(func(b backend.Stats) {
@@ -270,7 +271,7 @@
 				slog.Group("discovery", "rev", d.Rev, "nodes", d.Nodes, "watching", d.Watching, "watches", d.Requests, "unanswered", d.Unanswered, "answer", d.AnswerTime, "passed", d.Skipped),
 				slog.Group("process", "heap", samples[0].Value.Uint64(), "memory", samples[1].Value.Uint64(),
 					"goroutines", samples[2].Value.Uint64(), "collections", samples[3].Value.Uint64(), "maxrss_kb", cpu.Maxrss,
-					"resident", statusBytes(status, "VmRSS"), "resident_file", statusBytes(status, "RssFile"),
+					"resident", statusBytes(status, "VmRSS"), "resident_file", statusBytes(status, "RssFile"), "loop_lag", lag,
 					"user", time.Duration(cpu.Utime.Nano()), "system", time.Duration(cpu.Stime.Nano())))
 		})
 	})
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -18,8 +19,9 @@
 	"eiderhold/internal/telemetry"
 )
 
-// bufferBytes limits how much one turn of the loop reads from a connection, or writes to it.
-const bufferBytes = 64 << 10
+// bufferBytes limits how much one turn of the loop reads from a connection, and is the size of the buffer in which it
+// begins to keep what a connection does not take at once.
+const bufferBytes = 16 << 10
 
 // Peer handles the events of a connection for its owner. Its methods run on the loop.
 type Peer interface {
@@ -36,7 +38,12 @@
 
 	mu        sync.Mutex
 	queue     []func()
+	queuedAt  time.Time // when the first of queue was posted
 	scheduled bool
+	next      []func()
+	nextReady chan struct{} // capacity 1; signals that next is not empty
+	endNext   context.CancelFunc
+	lag       atomic.Int64 // see Lag
 
 	// The fields below are used on the loop only.
 	closing        map[gnet.Conn]*closing
@@ -45,7 +52,7 @@
 
 // Start starts an event loop.
 func Start(log *slog.Logger) (*Loop, error) {
-	l := &Loop{log: log, closing: map[gnet.Conn]*closing{}}
+	l := &Loop{log: log, closing: map[gnet.Conn]*closing{}, nextReady: make(chan struct{}, 1)}
 	client, err := gnet.NewClient(&handler{loop: l}, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(telemetry.GnetLogger{Log: log}), gnet.WithReadBufferCap(bufferBytes), gnet.WithWriteBufferCap(bufferBytes))
 	if err == nil {
@@ -59,6 +66,9 @@
 		_ = client.Stop()
 		return nil, fmt.Errorf("event loop: %w", err)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.endNext = cancel
+	go l.postNext(ctx)
 	return l, nil
 }
 
@@ -87,7 +97,9 @@
 	l.mu.Lock()
 	l.queue = append(l.queue, f)
 	wasScheduled := l.scheduled
-	l.scheduled = true
+	if !wasScheduled {
+		l.scheduled, l.queuedAt = true, time.Now()
+	}
 	l.mu.Unlock()
 	if wasScheduled {
 		return
@@ -104,9 +116,10 @@
 // Run runs the queued calls.
 func (t queueRunner) Run(context.Context) error {
 	t.loop.mu.Lock()
-	queue := t.loop.queue
+	queue, waited := t.loop.queue, time.Since(t.loop.queuedAt)
 	t.loop.queue, t.loop.scheduled = nil, false
 	t.loop.mu.Unlock()
+	t.loop.lag.Store(max(t.loop.lag.Load(), int64(waited)))
 	for _, f := range queue {
 		f()
 	}
@@ -152,7 +165,10 @@
 func (l *Loop) Close(g gnet.Conn) { _ = l.eventLoop.Close(g) }
 
 // Stop stops the loop and closes all of its connections.
-func (l *Loop) Stop() error { return l.client.Stop() }
+func (l *Loop) Stop() error {
+	l.endNext()
+	return l.client.Stop()
+}
 
 type handler struct {
 	gnet.BuiltinEventEngine
