front/http, backend/http: the client's presence is checked right before an attempt

Cause: the close of a connection comes behind everything that was sent on it, and the front learned of it only once it had read all of that, 16 or 64 KiB a turn of the loop, with the attempts of the requests in front begun meanwhile: up to 0.33 s after the close.

Change: host.Request.Present, which the backend asks on the loop right before an attempt's first byte (sendNext), first attempts and further ones alike. The front reads what has arrived on the client's connection, 64 KiB at most: an end or an error means that the client has left, nothing more that it waits. A client that has sent more than that behind a request counts as gone. Such an attempt ends as NotSent, which proves that it never ran. Cost: a read that returns EAGAIN for each attempt.

--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -72,13 +72,13 @@
 // Stats are counters since the start; Conns, Out and Waiting are current values. Spoilt counts invalid responses,
 // Excess connections with unsolicited bytes, Stale connections found unusable before reuse, and Given attempts dropped
 // in flight. Rested counts attempts that waited for a connection in its rest period, Barred attempts rejected while
-// they waited for a connection. Queued is the total time that
+// they waited for a connection, and Gone those of them whose client was found to have left. Queued is the total time that
 // written attempts had waited. Held are the bytes of responses and unwritten requests in memory, as allocated, HeldPeak
 // their highest value, and Shed responses that were discarded for lack of memory.
 type Stats struct {
 	Dials, DialsFailed, Written, Answers, Spoilt, Excess, Stale, Given uint64
 	Rested                                                             uint64
-	Barred, Shed                                                       uint64
+	Barred, Gone, Shed                                                 uint64
 	Held, HeldPeak                                                     int64
 	Queued                                                             time.Duration
 	Conns, Out, Waiting                                                int
@@ -255,7 +255,7 @@
 }
 
 // sendNext writes the attempt that has waited longest to a connection, unless the connection or the attempt is not fit for
-// it any more.
+// it any more. The client is looked at last, right before the first byte.
 func (b *Backend) sendNext(n *node, c *conn) {
 	if c.stale() {
 		b.stats.Stale++
@@ -263,6 +263,12 @@
 		return
 	}
 	a := n.nextWaiting()
+	if !a.clientPresent() {
+		b.stats.Gone++
+		c.release()
+		b.bar(a, "its client has gone")
+		return
+	}
 	a.Request.MarkBegun()
 	c.writeRequest(a)
 }
@@ -280,6 +286,11 @@
 	b.report(a, host.Outcome{Result: control.NotSent, Text: why})
 }
 
+// clientPresent reports whether the client of the attempt's request still waits for the answer.
+func (a *attempt) clientPresent() bool {
+	return !a.Request.Abandoned() && (a.Request.Present == nil || a.Request.Present())
+}
+
 // rejectReason returns why a waiting attempt may no longer be sent; empty if it may. It is evaluated right before
 // the first byte is written, on the loop that also handles closed client connections and new node lists: while
 // the attempt waited for a connection, the conditions of the decision to send may have changed.
--- a/internal/backend/http/memory_test.go
+++ b/internal/backend/http/memory_test.go
@@ -5,9 +5,11 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"eiderhold/control"
 	"eiderhold/internal/host"
+	"eiderhold/internal/http1"
 	"eiderhold/internal/standin"
 )
 
@@ -78,3 +80,25 @@
 		t.Errorf("%d bytes more in the heap", grown)
 	}
 }
+
+// TestAbsentClientIsNotSent checks that an attempt does not begin if its client is found to have left right before its first
+// byte, and that its connection serves the next one.
+func TestAbsentClientIsNotSent(t *testing.T) {
+	n := newNode(t, alwaysReply(standin.Served("x")))
+	r := newHarness(t, 1, n.Addr())
+	for _, present := range []bool{true, false, true} {
+		r.next++
+		q := &host.Request{Message: &http1.Message{Method: "GET", Target: "/", ID: "0123456789abcdef"}, Present: func() bool { return present }}
+		r.Send(host.Attempt{Ref: r.next, Node: "a", Remaining: 5 * time.Second, Request: q})
+		want := control.Done
+		if !present {
+			want = control.NotSent
+		}
+		if o := <-r.outcomes; o.Result != want || q.Begun() != present {
+			t.Fatalf("%+v, begun: %v", o, q.Begun())
+		}
+	}
+	if s := r.readStats(); s.Dials != 1 || s.Gone != 1 || len(n.WaitSeen(2)) != 2 {
+		t.Fatalf("%+v", s)
+	}
+}
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
@@ -15,6 +16,8 @@
 const (
 	maxBufferedBytes  = 128 << 10 // behind the present request: several hundred small requests
 	maxEmptyLineBytes = 256       // of empty lines in front of a request
+	readAheadBytes    = 16 << 10  // read at a time before an attempt begins
+	maxReadAhead      = 4         // reads before an attempt begins
 )
 
 // conn is one client connection.
@@ -192,6 +195,31 @@
 	return c.presentBytes() + maxBufferedBytes
 }
 
+// present reports, right before an attempt of r begins, whether its client still waits for the answer. The close of a
+// connection comes behind everything that was sent on it, so all of that is read first. A client that has sent more than
+// is read at a time counts as gone: it may have closed behind that, and does not keep to one request at a time.
+func (c *conn) present(r *host.Request) bool {
+	if c.closed || c.req != r {
+		return false
+	}
+	for range maxReadAhead {
+		n, err := unix.Read(c.g.Fd(), c.f.readAhead[:])
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			return true
+		case err != nil || n == 0:
+			c.f.stats.Gone++
+			c.f.opt.Loop.Close(c.g)
+			return false
+		}
+		c.receive(c.f.readAhead[:n])
+	}
+	c.f.stats.Gone++
+	return false
+}
+
 // finishFlush ends the state in which an answer is being written, if that is now written completely. A client sends its
 // next request as soon as it has read the answer, so Traffic checks it before it reads that request.
 func (c *conn) finishFlush() {
@@ -334,6 +362,7 @@
 	}
 	f.stats.Requests++
 	r.Answer = func(a host.Answer) { f.opt.Loop.Post(func() { c.deliver(r, a) }) }
+	r.Present = func() bool { return c.present(r) }
 	hostID, err := f.opt.Host.Submit(r)
 	if err != nil { // nothing has run, so the client may retry
 		f.ids.EndUntaken(requestID)
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -71,6 +71,7 @@
 	roundScheduled bool
 	heldBytes      int64 // of requests
 	unsentBytes    int64 // of answers that clients have not taken
+	readAhead      [readAheadBytes]byte
 	events         *telemetry.Limited
 	keepAlive      bool
 	draining       bool
@@ -82,12 +83,12 @@
 // requests rejected by the front, Late those of them that did not arrive in time, Duplicate requests with the id of
 // another one, Left open requests whose clients have gone, and Evicted connections that were idle too long or made room
 // for others. Deferred counts how often requests of a connection had to wait for those of others, Shed incomplete
-// requests discarded for lack of memory, and Unread connections closed for lack of memory as they did not read their
-// answers. Held and Unsent are bytes of requests and of
+// requests discarded for lack of memory, Unread connections closed for lack of memory as they did not read their answers,
+// and Gone attempts that did not begin as the client was found to have left. Held and Unsent are bytes of requests and of
 // answers that clients have not taken, as allocated, HeldPeak and UnsentPeak their highest values.
 type Stats struct {
 	Accepted, Requests, Served, Refused, Failed, Wrong, Left, Evicted, Late, Duplicate uint64
-	Deferred, Shed, Unread                                                             uint64
+	Deferred, Shed, Unread, Gone                                                       uint64
 	Conns, Open                                                                        int
 	Held, HeldPeak, Unsent, UnsentPeak                                                 int64
 }
--- a/internal/host/request.go
+++ b/internal/host/request.go
@@ -48,6 +48,10 @@
 	// Answer is called once with the final answer, on the host's loop. It must not block.
 	Answer func(Answer)
 
+	// Present reports whether the client still waits for the answer. The backend calls it on the loop of its connections,
+	// right before an attempt's first byte. nil: Abandoned tells all that is known.
+	Present func() bool
+
 	abandoned atomic.Bool
 	begun     atomic.Bool
 }
