front/http: all connections that arrive during a turn of the loop are taken in the next

Their requests age from the kernel's accept on.

Cause: the accepting goroutine added one connection at a time and waited for the loop each time: one in a turn, 30 a second where a turn takes 30 ms.

Change: up to 32 accepted connections wait for the loop at a time. The places are reserved before, as they were.

--- a/internal/front/http/accept.go
+++ b/internal/front/http/accept.go
@@ -4,14 +4,22 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"eiderhold/limits"
 )
 
+// maxAdding is the number of accepted connections that may wait for the event loop at a time. A busy loop takes them all
+// in one turn: the requests on them have begun to age when the kernel accepted them.
+const maxAdding = 32
+
 // accept accepts connections up to the limit, so that the process does not run out of file descriptors. Further
 // connections wait in the kernel's queue until another one has closed.
 func (f *Front) accept() {
+	adding := make(chan struct{}, maxAdding)
+	var added sync.WaitGroup
+	defer added.Wait()
 	pause := time.Millisecond
 	for {
 		if !f.reservePlace() {
@@ -29,7 +37,13 @@
 			continue
 		}
 		pause = time.Millisecond
-		f.add(c)
+		adding <- struct{}{}
+		added.Add(1)
+		go func() {
+			f.add(c)
+			<-adding
+			added.Done()
+		}()
 	}
 }
 
