discovery, membership, live: what discovery can make the process hold is bounded in bytes

Cause: an object of up to 4 MiB was decoded whole, in each of up to nine requests at a time: the decoder's buffer, 24 bytes and more for an entry of one byte, an error and a log line for each that could not be used. The list was bounded by 100,000 nodes, whose texts (the zone unbounded) stand in several places. Changes came faster than the host applied them and queued there, each with the whole list. White space between objects stayed in the decoder's buffer.

Change: objects are read value by value (object.go), 64 KiB a value, with one budget for the entries of all requests. The list is bounded in bytes, 1,400 and three times its texts for a node: 3,200 nodes fit at 32 MB. Of skipped entries the first 16 are logged. live.Server.List waits until the change is applied. The configuration's texts are dropped once read. New: stats discovery.node_bytes.

--- a/cmd/eiderhold/fault_test.go
+++ b/cmd/eiderhold/fault_test.go
@@ -16,6 +16,9 @@
 	mostDescriptors = 1024
 )
 
+// playLength is the time for which a test plays a host.
+const playLength = 4 * time.Second
+
 // buildHost builds the program as the deploy file does, and returns its path. What it takes at rest depends on it.
 func buildHost(t *testing.T) string {
 	t.Helper()
@@ -33,29 +36,46 @@
 
 // playHostile plays each kind of hostile client against a host of its own, beside usual clients.
 func playHostile(t *testing.T, names ...string) {
-	const length = 4 * time.Second
 	program := buildHost(t)
 	for _, h := range standin.HostileClients {
 		if !slices.Contains(names, h.Name) {
 			continue
 		}
 		t.Run(h.Name, func(t *testing.T) {
-			s, err := standin.NewStage(hostOptions(t, program))
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer s.Close()
-			s.Play(length, 1, h)
-			t.Logf("peak %.1f MB, CPU %v; %s", float64(s.Peak())/(1<<20), s.Host.CPU(), s.Usual)
-			for i, b := range s.Broken() {
-				if i < 5 {
-					t.Error(b)
-				}
-			}
+			play(t, hostOptions(t, program), standin.KeepAlive, h)
 		})
 	}
 }
 
+// play plays a host beside usual clients, and fails if a rule is broken.
+func play(t *testing.T, o standin.HostOptions, feed func(standin.Watch), hostile ...standin.Hostile) {
+	s, err := standin.NewStage(o, feed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	s.Play(playLength, 1, hostile...)
+	t.Logf("peak %.1f MB, CPU %v; %s", float64(s.Peak())/(1<<20), s.Host.CPU(), s.Usual)
+	for i, b := range s.Broken() {
+		if i < 5 {
+			t.Error(b)
+		}
+	}
+	if s.Usual.Served == 0 {
+		t.Error("no usual client was served")
+	}
+}
+
+// TestDiscoveryStaysWithinMemory guards against memory that discovery makes a process hold, and against clients that are
+// not served meanwhile.
+func TestDiscoveryStaysWithinMemory(t *testing.T) {
+	program := buildHost(t)
+	for name, feed := range map[string]func(standin.Watch){"endless entries": standin.EndlessEntries, "endless nodes": standin.EndlessNodes,
+		"nodes in turn": standin.NodesInTurn, "endless text": standin.EndlessText, "endless space": standin.EndlessSpace} {
+		t.Run(name, func(t *testing.T) { play(t, hostOptions(t, program), feed) })
+	}
+}
+
 // TestCrowdStaysWithinMemory guards against a process over its memory limit under hundreds of slow, incomplete or oversized
 // clients.
 func TestCrowdStaysWithinMemory(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,8 +17,6 @@
 	"eiderhold/membership"
 )
 
-const maxObjectBytes = 4 << 20 // maximum size of one JSON object
-
 // Host receives node lists.
 type Host interface {
 	List(host.List)
@@ -37,6 +35,8 @@
 	addressChanged chan struct{} // capacity 1; signals that the address has changed
 	state          State
 
+	unapplied entryBudget // of entries that the watches have read
+
 	// The fields below are used by Run only, and by SetKnownList before it.
 	followed  string // the address of new requests
 	list      *membership.List
@@ -52,6 +52,7 @@
 	Address      string
 	Rev          uint64
 	Nodes        int
+	Bytes        int64         // memory that the nodes take
 	LastReceived time.Time     // when the current watch last received bytes
 	Requests     uint64        // requests for a watch or a list since the start
 	Unanswered   int           // open requests without an object
@@ -60,10 +61,11 @@
 	Watching     bool
 }
 
-// New returns a feed that follows discovery at an address, to be started with Run.
-func New(addr string, h Host, log *slog.Logger) *Feed {
-	return &Feed{host: h, log: log, timing: membership.DefaultTiming, events: make(chan any), addr: addr,
-		addressChanged: make(chan struct{}, 1), list: membership.New(), trials: map[membership.TrialID]*watch{}}
+// New returns a feed that follows discovery at an address, to be started with Run. maxBytes bounds the memory for the list of
+// nodes, in all parts of the process. Entries that have been read and not applied may take half as much beside it.
+func New(addr string, maxBytes int64, h Host, log *slog.Logger) *Feed {
+	return &Feed{host: h, log: log, timing: membership.DefaultTiming, events: make(chan any), addr: addr, unapplied: entryBudget{limit: maxBytes / 2},
+		addressChanged: make(chan struct{}, 1), list: membership.New(maxBytes), trials: map[membership.TrialID]*watch{}}
 }
 
 // SetKnownList sets the node list that this host held before its restart. The list may be out of date, and the
@@ -275,9 +277,12 @@
 		f.scheduler.Resync(f.clock())
 		return nil
 	}
-	for _, err := range skipped {
+	for _, err := range skipped.First {
 		f.log.Warn("discovery: an entry is passed over", "err", err)
 	}
+	if more := skipped.Count - len(skipped.First); more > 0 {
+		f.log.Warn("discovery: further entries are passed over", "rev", u.Rev, "entries", more)
+	}
 	l := &host.List{Kind: kind}
 	for _, n := range nodes {
 		if n.BootMS > 0 {
@@ -285,6 +290,8 @@
 		}
 		l.Nodes = append(l.Nodes, host.Node{Node: n.Node, Addr: n.Endpoint})
 	}
-	f.updateState(func(s *State) { s.Rev, s.Nodes, s.Skipped = u.Rev, f.list.Len(), s.Skipped+uint64(len(skipped)) })
+	f.updateState(func(s *State) {
+		s.Rev, s.Nodes, s.Bytes, s.Skipped = u.Rev, f.list.Len(), f.list.Bytes(), s.Skipped+uint64(skipped.Count)
+	})
 	return l
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,6 +21,8 @@
 	"eiderhold/membership"
 )
 
+const testListBytes = 4 << 20
+
 // fakeHost receives node lists.
 type fakeHost struct{ lists chan host.List }
 
@@ -57,7 +59,7 @@
 func startFeed(t *testing.T, addr string, timing membership.Timing, known string) (*Feed, *fakeHost, *standin.Log) {
 	t.Helper()
 	h, log := &fakeHost{make(chan host.List, 100)}, &standin.Log{}
-	f := New(addr, h, slog.New(slog.NewTextHandler(log, nil)))
+	f := New(addr, testListBytes, h, slog.New(slog.NewTextHandler(log, nil)))
 	f.timing = timing
 	if known != "" {
 		if err := f.SetKnownList([]byte(known)); err != nil {
@@ -184,7 +186,7 @@
 	if w = a.Next(); w.From != 2 {
 		t.Fatalf("from %d", w.From)
 	}
-	log.WaitFor("an object of over")
+	log.WaitFor("an object with a value of over")
 }
 
 // TestAddressChange checks that a new address is contacted at once, and that the former watch stays open until the new
@@ -299,7 +301,7 @@
 			}
 		})
 	}
-	if err := New("127.0.0.1:1", &fakeHost{}, slog.New(slog.DiscardHandler)).SetKnownList([]byte("[")); err == nil {
+	if err := New("127.0.0.1:1", testListBytes, &fakeHost{}, slog.New(slog.DiscardHandler)).SetKnownList([]byte("[")); err == nil {
 		t.Fatal("a malformed list was accepted")
 	}
 }
@@ -308,7 +310,7 @@
 func readUpdates(r io.Reader) (updates []membership.Update) {
 	b := &responseBody{conn: r, onRead: func() error { return nil }}
 	if b.readHead() == nil {
-		_ = readObjects(b, func(u membership.Update) error { updates = append(updates, u); return nil })
+		_ = readObjects(b, &entryBudget{limit: testListBytes}, func(u membership.Update) error { updates = append(updates, u); return nil })
 	}
 	return updates
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,8 +1,8 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -51,13 +51,13 @@
 				return ctx.Err()
 			}
 		}
-		err := w.run(ctx, from, post)
+		err := w.run(ctx, from, &f.unapplied, post)
 		_ = post(watchEnded{w, fmt.Errorf("discovery: %w", err)})
 	}()
 }
 
 // run sends the request and posts what it receives until the connection ends or ctx is done.
-func (w *watch) run(ctx context.Context, from uint64, post func(any) error) error {
+func (w *watch) run(ctx context.Context, from uint64, budget *entryBudget, post func(any) error) error {
 	d := net.Dialer{}
 	conn, err := d.DialContext(ctx, "tcp", w.addr)
 	if err != nil {
@@ -78,7 +78,7 @@
 	if err := body.readHead(); err != nil {
 		return err
 	}
-	return readObjects(body, func(u membership.Update) error {
+	return readObjects(body, budget, func(u membership.Update) error {
 		if w.fetchAll {
 			u.All = true
 		}
@@ -86,32 +86,16 @@
 	})
 }
 
-// readObjects reads JSON values, with any white space between and within them, until the stream ends. encoding/json
-// bounds the nesting of a value, responseBody its size.
-func readObjects(b *responseBody, take func(membership.Update) error) error {
-	dec := json.NewDecoder(b)
-	b.consumed = dec.InputOffset
-	for {
-		var u membership.Update
-		if err := dec.Decode(&u); err != nil {
-			return fmt.Errorf("object at byte %d: %w", dec.InputOffset(), err)
-		}
-		if err := take(u); err != nil {
-			return err
-		}
-	}
-}
-
-// responseBody reads the body of a response in pieces of any size. It fails when an object exceeds maxObjectBytes.
+// responseBody reads the body of a response in pieces of any size. It fails when an object or a value in it is too long.
 type responseBody struct {
 	conn       io.Reader
 	onRead     func() error // called after each read that returns bytes
-	consumed   func() int64 // returns the number of bytes that the JSON decoder has consumed
+	given      int64        // bytes of the present object that Read has returned
+	consumed   func() int64 // returns how many of them the JSON decoder has consumed
 	readBuffer [16 << 10]byte
 	unread     []byte // decoded and not yet returned by Read
 	chunks     *http1.ChunkDecoder
 	remaining  int64 // bytes left of a body with a Content-Length; negative: until the connection ends
-	received   int64
 	done       bool
 }
 
@@ -149,7 +133,6 @@
 
 // decode decodes bytes of the body and appends them to unread.
 func (b *responseBody) decode(p []byte) (err error) {
-	before := len(b.unread)
 	switch {
 	case b.chunks != nil:
 		b.unread, _, b.done, err = b.chunks.Feed(b.unread, p)
@@ -160,33 +143,57 @@
 	default:
 		b.unread = append(b.unread, p...)
 	}
-	b.received += int64(len(b.unread) - before)
 	return err
 }
 
 // Read implements io.Reader for the JSON decoder.
 func (b *responseBody) Read(p []byte) (int, error) {
+	switch {
+	case b.given > maxObjectBytes:
+		return 0, fmt.Errorf("an object of over %d bytes", maxObjectBytes)
+	case b.given-b.consumed() > maxValueBytes:
+		return 0, fmt.Errorf("an object with a value of over %d bytes", maxValueBytes)
+	}
+	if err := b.fill(); err != nil {
+		return 0, err
+	}
+	n := copy(p, b.unread)
+	b.unread = b.unread[:copy(b.unread, b.unread[n:])]
+	b.given += int64(n)
+	return n, nil
+}
+
+// skipSpace discards white space in front of an object.
+func (b *responseBody) skipSpace() error {
+	for {
+		if b.unread = bytes.TrimLeft(b.unread, " \t\r\n"); len(b.unread) > 0 {
+			return nil
+		}
+		b.unread = nil
+		if err := b.fill(); err != nil {
+			return err
+		}
+	}
+}
+
+// fill reads from the connection until there are unread bytes.
+func (b *responseBody) fill() error {
 	for len(b.unread) == 0 {
 		if b.done {
-			return 0, errResponseEnded
-		}
-		if b.received-b.consumed() > maxObjectBytes {
-			return 0, fmt.Errorf("an object of over %d bytes", maxObjectBytes)
+			return errResponseEnded
 		}
 		n, err := b.conn.Read(b.readBuffer[:])
 		if n > 0 {
 			if err := b.onRead(); err != nil {
-				return 0, err
+				return err
 			}
 			if err := b.decode(b.readBuffer[:n]); err != nil {
-				return 0, err
+				return err
 			}
 		}
 		if err != nil && len(b.unread) == 0 {
-			return 0, err
+			return err
 		}
 	}
-	n := copy(p, b.unread)
-	b.unread = b.unread[:copy(b.unread, b.unread[n:])]
-	return n, nil
+	return nil
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -195,6 +195,9 @@
 // Shares posts precomputed shares. They replace the former ones as a whole, between two steps of the controller.
 func (h *Host) Shares(s control.Shares) { h.post(s) }
 
+// Do runs f on the host's loop, after all that was posted before. It is dropped once the loop has ended.
+func (h *Host) Do(f func()) { h.post(call(f)) }
+
 // Stop ends the loop: open requests fail, and Run returns err.
 func (h *Host) Stop(err error) { h.post(stopRequest{err}) }
 
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -49,6 +49,7 @@
 	hasNodeList atomic.Bool // a node list has arrived
 	memoryLimit int64       // of the process, in bytes
 	cancel      context.CancelFunc
+	ending      <-chan struct{}
 	hostEnded   chan struct{}
 	hostErr     error
 }
@@ -81,15 +82,16 @@
 		return nil, err
 	}
 	s.backend.SetOwner(s.host)
-	s.feed = discovery.New(cfg.Discovery, s, log)
+	s.feed = discovery.New(cfg.Discovery, split.ListBytes, s, log)
 	s.host.SetRegister(s.feed)
 	if len(cfg.KnownNodes) > 0 {
 		if err := s.feed.SetKnownList(cfg.KnownNodes); err != nil {
 			log.Warn("the known node list in the configuration cannot be used; it is ignored", "err", err)
 		}
 	}
+	cfg.KnownNodes, cfg.Settings = nil, nil // the texts are large, and all of them has been read
 	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
+	s.cancel, s.ending = cancel, ctx.Done()
 	go func() {
 		s.hostErr = s.host.Run()
 		close(s.hostEnded)
@@ -113,9 +115,17 @@
 	return s, nil
 }
 
-// List passes a node list or a change of it to the host.
+// List passes a node list or a change of it to the host, and waits until it is applied there and at the connections to
+// nodes: discovery may send changes faster than they can be applied.
 func (s *Server) List(news host.List) {
+	applied := make(chan struct{})
 	s.host.List(news)
+	s.host.Do(func() { s.loop.Post(func() { close(applied) }) })
+	select {
+	case <-applied:
+	case <-s.ending:
+	case <-s.hostEnded:
+	}
 	if len(news.Nodes) > 0 || news.Kind == control.ListFull {
 		s.hasNodeList.Store(true)
 	}
@@ -268,7 +278,7 @@
 					"late", h.LateOutcomes, "left", h.ClientsGone, "defects", h.Defects, "results", h.Results,
 					"mailbox_p99", h.Mailbox.Percentile(99), "mailbox_max", h.Mailbox.Percentile(100), "decide_p99", h.Decide.Percentile(99),
 					"outcome_p50", h.Outcome.Percentile(50), "outcome_p99", h.Outcome.Percentile(99)),
-				slog.Group("discovery", "rev", d.Rev, "nodes", d.Nodes, "watching", d.Watching, "watches", d.Requests, "unanswered", d.Unanswered, "answer", d.AnswerTime, "passed", d.Skipped),
+				slog.Group("discovery", "rev", d.Rev, "nodes", d.Nodes, "node_bytes", d.Bytes, "watching", d.Watching, "watches", d.Requests, "unanswered", d.Unanswered, "answer", d.AnswerTime, "passed", d.Skipped),
 				slog.Group("process", "heap", samples[0].Value.Uint64(), "memory", samples[1].Value.Uint64(),
 					"goroutines", samples[2].Value.Uint64(), "collections", samples[3].Value.Uint64(), "maxrss_kb", cpu.Maxrss,
 					"resident", statusBytes(status, "VmRSS"), "resident_file", statusBytes(status, "RssFile"), "loop_lag", lag,
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -168,7 +168,13 @@
 func (w Watch) Line(text string) { w.Chunk(text + "\n") }
 
 // Chunk sends a text as a chunk.
-func (w Watch) Chunk(text string) { fmt.Fprintf(w.Conn, "%x\r\n%s\r\n", len(text), text) }
+func (w Watch) Chunk(text string) { _ = w.send(text) }
+
+// send sends a text as a chunk and reports whether the connection took it.
+func (w Watch) send(text string) bool {
+	_, err := fmt.Fprintf(w.Conn, "%x\r\n%s\r\n", len(text), text)
+	return err == nil
+}
 
 // Head sends the answer's status line and header.
 func (w Watch) Head() {
--- a/internal/standin/stage.go
+++ b/internal/standin/stage.go
@@ -40,8 +40,9 @@
 	peak    int64
 }
 
-// NewStage starts nodes, discovery and a host. Listen and Config of the options are filled in.
-func NewStage(o HostOptions) (*Stage, error) {
+// NewStage starts nodes, discovery and a host. Listen and Config of the options are filled in. feed is what discovery sends
+// on each watch after the list of nodes; KeepAlive is that of a sound one.
+func NewStage(o HostOptions, feed func(Watch)) (*Stage, error) {
 	s := &Stage{Departures: &Departures{}, options: o}
 	long := Served(strings.Repeat("z", longBody))
 	var targets []string
@@ -64,7 +65,11 @@
 	if s.agent, err = NewAgentWith("", func(w Watch) { w.Head(); w.Line(list) }); err != nil {
 		return nil, err
 	}
-	go s.keepWatches()
+	go func() {
+		for {
+			go feed(s.agent.Next())
+		}
+	}()
 	if s.Addr, err = freeAddress(); err != nil {
 		return nil, err
 	}
@@ -74,16 +79,51 @@
 	return s, s.Start()
 }
 
-// keepWatches sends the empty lines that keep watches alive.
-func (s *Stage) keepWatches() {
+// KeepAlive sends the empty lines that keep a watch alive.
+func KeepAlive(w Watch) {
 	const beat = 2 * time.Second
-	for {
-		w := s.agent.Next()
-		go func() {
-			for _, err := fmt.Fprint(w.Conn, "1\r\n\n\r\n"); err == nil; _, err = fmt.Fprint(w.Conn, "1\r\n\n\r\n") {
-				time.Sleep(beat)
-			}
-		}()
+	for w.send("\n") {
+		time.Sleep(beat)
+	}
+}
+
+// The feeds of discovery that send more than any list of nodes.
+var (
+	// EndlessEntries sends objects full of entries that are none.
+	EndlessEntries = repeat(func(i int) string {
+		return fmt.Sprintf(`{"rev":%d,"targets":[1%s]}`, i+2, strings.Repeat(",1", 1<<19))
+	})
+	// EndlessNodes sends ever new nodes, with texts as long as they may be.
+	EndlessNodes = repeat(func(i int) string {
+		var targets []string
+		for k := range 100 {
+			uid := fmt.Sprintf("x-%d-%d-%s", i, k, strings.Repeat("u", 200))
+			targets = append(targets, Target(uid, fmt.Sprintf("127.0.0.1:%d", 1+k), 1000+k, "active", 0))
+		}
+		return List(uint64(i+2), false, targets...)
+	})
+	// NodesInTurn replaces nodes at full speed: each object takes away what the one before has brought.
+	NodesInTurn = repeat(func(i int) string {
+		return List(uint64(i+2), false, Target(fmt.Sprintf("x-%d", i), "127.0.0.1:9", 1000, "left", 0),
+			Target(fmt.Sprintf("x-%d", i+1), "127.0.0.1:9", 1000, "active", 0))
+	})
+	// EndlessText sends an object whose entry has a text without end.
+	EndlessText = func(w Watch) {
+		for w.send(`{"rev":2,"targets":[{"uid":"`); w.send(strings.Repeat("x", 1<<16)); {
+		}
+	}
+	// EndlessSpace sends empty lines at full speed.
+	EndlessSpace = func(w Watch) {
+		for w.send(strings.Repeat("\n", 1<<12)) {
+		}
+	}
+)
+
+// repeat returns a feed that sends objects at full speed.
+func repeat(object func(i int) string) func(Watch) {
+	return func(w Watch) {
+		for i := 0; w.send(object(i)); i++ {
+		}
 	}
 }
 
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -19,7 +19,7 @@
 	requestsFraction = 0.16 // requests without an answer
 	answersFraction  = 0.08 // answers from nodes
 	unsentFraction   = 0.08 // answers that clients have not taken
-	listsFraction    = 0.12 // the node list
+	listsFraction    = 0.30 // the node list, which few deployments fill
 	namesFraction    = 0.10 // what is remembered by the names that clients give
 	idsFraction      = 0.07 // ids of requests that have ended
 )
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -13,8 +13,8 @@
 	for _, c := range []struct {
 		descriptors int
 		memory      Memory
-	}{{256, Memory{32 << 20, 22 << 20, 4 << 20}}, {1024, Memory{32 << 20, 22 << 20, 4 << 20}}, {384, Memory{64 << 20, 24 << 20, 4 << 20}},
-		{1024, Memory{192 << 20, 24 << 20, 4 << 20}}} {
+	}{{256, Memory{32 << 20, 12 << 20, 5 << 20}}, {1024, Memory{32 << 20, 12 << 20, 5 << 20}}, {384, Memory{64 << 20, 12 << 20, 5 << 20}},
+		{1024, Memory{192 << 20, 12 << 20, 5 << 20}}} {
 		s := Divide(c.descriptors, c.memory, sizes)
 		if s.ClientConns+s.NodeConns+reservedDescriptors > c.descriptors || s.ClientConns < c.descriptors/3 {
 			t.Errorf("%+v: %+v", c, s)
@@ -22,7 +22,7 @@
 		if resident := c.memory.Resident - c.memory.Runtime + c.memory.HeapBytes(); resident >= c.memory.Limit {
 			t.Errorf("%+v: %d bytes resident", c, resident)
 		}
-		held := s.RequestBytes + s.AnswerBytes + s.UnsentBytes + int64(s.MaxNames*sizes.Name+s.MaxIDs*sizes.ID+(s.ClientConns+s.NodeConns)*connBytes)
+		held := s.ListBytes + s.RequestBytes + s.AnswerBytes + s.UnsentBytes + int64(s.MaxNames*sizes.Name+s.MaxIDs*sizes.ID+(s.ClientConns+s.NodeConns)*connBytes)
 		if free := c.memory.HeapBytes() - c.memory.Runtime; held > free || s.MaxRequests < c.descriptors/3 {
 			t.Errorf("%+v: %d bytes of %d free: %+v", c, held, free, s)
 		}
