buffer, http1, live: long messages reuse their memory; a seeded soak with signals

Cause: a message of 1 MiB that grows by half at a time leaves 2 MiB behind, and a collection on a quarter of a core takes longer than the next answers need to come. The limit of the Go runtime is soft. The pages of the program's file grow by 1.5 MB in the first seconds, and the limit was set again only after 5 s.

Change: slices of 4 KiB to 2 MiB for incomplete messages have sizes of powers of two and are used again (buffer.Allocate, Recycle), at most 2 MiB of them wait, and that counts. 15% of the limit are kept back, and the runtime's limit is set again every second. TestFaultSoak draws limits, hostile clients and series of signals from a seed; clients use their connections until the earliest SIGKILL.

--- a/cmd/eiderhold/fault_test.go
+++ b/cmd/eiderhold/fault_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"flag"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -91,3 +93,32 @@
 func TestLeftClientsBeginNothing(t *testing.T) {
 	playHostile(t, "write-and-leave", "leave-and-repeat")
 }
+
+// The soak that TestFaultSoak plays. A long one is started by hand, see docs/operate/live.md.
+var (
+	soakFirst = flag.Int64("soak.first", 1, "first seed of the soak")
+	soakSeeds = flag.Int64("soak.seeds", 4, "number of seeds")
+	soakCPU   = flag.Int("soak.cpu", 0, "core for the host, counted from the last one")
+)
+
+// TestFaultSoak plays plans drawn from seeds: clients of all kinds, signals in series, restarts, limits of all sizes.
+func TestFaultSoak(t *testing.T) {
+	program := buildHost(t)
+	for seed := *soakFirst; seed < *soakFirst+*soakSeeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			p := standin.NewSoakPlan(seed)
+			o := hostOptions(t, program)
+			o.MemoryMB, o.Sockets, o.Cores, o.CPU = p.MemoryMB, p.Sockets, p.Cores, *soakCPU
+			s, err := standin.NewStage(o, standin.KeepAlive)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			s.Soak(p)
+			t.Logf("%v; peak %.1f MB; %s", p, float64(s.Peak())/(1<<20), s.Usual)
+			for _, b := range s.Broken() {
+				t.Error(b)
+			}
+		})
+	}
+}
--- a/internal/backend/http/answer.go
+++ b/internal/backend/http/answer.go
@@ -45,6 +45,12 @@
 	return n
 }
 
+// free gives up what the response takes. A body that has been passed on is not part of it any more.
+func (r *responseReader) free() {
+	buffer.Recycle(r.body)
+	*r = responseReader{}
+}
+
 // feed consumes bytes from the connection; done reports that the response is complete.
 func (r *responseReader) feed(p []byte) (done bool, err error) {
 	if !r.headParsed {
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -550,7 +550,8 @@
 // endAttempt ends the attempt in flight with an outcome.
 func (c *conn) endAttempt(o host.Outcome) {
 	a := c.attempt
-	c.attempt, c.response = nil, responseReader{}
+	c.response.free()
+	c.attempt = nil
 	c.updateHeldBytes()
 	c.b.report(a, o)
 }
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -21,8 +21,8 @@
 	released func(allocated int) // see Own
 }
 
-// Own returns a buffer of bytes that are not from a pool. released is called, on any goroutine, with their capacity when the
-// buffer is released.
+// Own returns a buffer of bytes that nothing else refers to. When it is released, released is called, on any goroutine, with
+// their capacity, and the bytes are recycled.
 func Own(b []byte, released func(allocated int)) *Buffer { return &Buffer{B: b, released: released} }
 
 // Get returns a buffer of n bytes with undefined content.
@@ -43,6 +43,7 @@
 func (b *Buffer) Release() {
 	if b != nil && b.released != nil {
 		b.released(cap(b.B))
+		Recycle(b.B)
 		b.B, b.released = nil, nil
 		return
 	}
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -6,6 +6,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
+	"eiderhold/internal/buffer"
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
 	"eiderhold/internal/loop"
@@ -116,7 +117,9 @@
 
 // discardBuffered discards the bytes of incomplete requests of a connection.
 func (f *Front) discardBuffered(c *conn) {
-	c.buf, c.chunkData, c.chunks, c.pending = http1.Buffer{}, nil, nil, nil
+	c.buf.Free()
+	buffer.Recycle(c.chunkData)
+	c.chunkData, c.chunks, c.pending = nil, nil, nil
 	c.headParsed, c.scanned = false, 0
 	c.inputAge = requestid.InputAge{}
 	c.updateHeld()
--- a/internal/http1/buffer.go
+++ b/internal/http1/buffer.go
@@ -1,20 +1,23 @@
 package http1
 
+import "eiderhold/internal/buffer"
+
 const minCapacity = 512
 
-// Append appends p to dst. If dst has to grow, its spare capacity is at most half of its length, and there is none beyond
-// most bytes: buffers of incomplete messages are held for long, and in numbers.
+// Append appends p to dst, which nothing else may refer to: if it has to grow, its former memory is used again. most is the
+// largest length that is expected. Buffers of incomplete messages are held for long, and in numbers, so that the spare
+// capacity is bounded by the length.
 func Append(dst, p []byte, most int) []byte {
 	if needed := len(dst) + len(p); needed > cap(dst) {
-		dst = append(make([]byte, 0, capacity(needed, most)), dst...)
+		grown := append(buffer.Allocate(capacity(needed, most)), dst...)
+		buffer.Recycle(dst)
+		dst = grown
 	}
 	return append(dst, p...)
 }
 
-// capacity returns the capacity of a buffer that has to hold the needed bytes now and at most the given number later.
-func capacity(needed, most int) int {
-	return max(needed, min(max(needed+needed/2, minCapacity), most))
-}
+// capacity returns the least capacity of a buffer that has to hold the needed bytes now and at most the given number later.
+func capacity(needed, most int) int { return max(needed, min(minCapacity, most)) }
 
 // Buffer holds received bytes that have not been consumed yet. Consuming does not move what remains, so that many small
 // messages in one buffer cost no more than their own length.
@@ -23,7 +26,7 @@
 	start int // the bytes before it are consumed
 }
 
-// Bytes returns the bytes that have not been consumed. They are valid until the next call of Append or Consume.
+// Bytes returns the bytes that have not been consumed. They are valid until the next call of Append, Consume or Free.
 func (b *Buffer) Bytes() []byte { return b.data[b.start:] }
 
 // Len returns the number of bytes that have not been consumed.
@@ -40,7 +43,7 @@
 	case needed <= cap(b.data) && b.start >= cap(b.data)/2:
 		b.moveTo(b.data[:0])
 	default:
-		b.moveTo(make([]byte, 0, capacity(needed, most)))
+		b.replace(capacity(needed, most))
 	}
 	b.data = append(b.data, p...)
 }
@@ -51,10 +54,23 @@
 	b.start += n
 	switch left := b.Len(); {
 	case left == 0:
-		*b = Buffer{}
+		b.Free()
 	case left < cap(b.data)/largeFor && cap(b.data) > largeFor*minCapacity:
-		b.moveTo(make([]byte, 0, left))
+		b.replace(left)
 	}
 }
 
+// Free gives up the buffer's memory and leaves it empty. Nothing may refer to its bytes any more.
+func (b *Buffer) Free() {
+	buffer.Recycle(b.data)
+	*b = Buffer{}
+}
+
+// replace moves the bytes to new memory that holds n bytes.
+func (b *Buffer) replace(n int) {
+	former := b.data
+	b.moveTo(buffer.Allocate(n))
+	buffer.Recycle(former)
+}
+
 func (b *Buffer) moveTo(to []byte) { b.data, b.start = append(to, b.Bytes()...), 0 }
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -33,6 +33,7 @@
 	maxProcs          = 4
 	drainPollInterval = 20 * time.Millisecond // between checks for open connections during shutdown
 	statsInterval     = 5 * time.Second
+	memoryInterval    = time.Second  // between two settings of the runtime's limit
 	serviceName       = "origin.svc" // the Host field of requests to nodes, the same as in those of clients
 )
 
@@ -147,8 +148,12 @@
 func (s *Server) Serve(signals <-chan os.Signal, reload func() (*Config, error)) error {
 	ticker := time.NewTicker(statsInterval)
 	defer ticker.Stop()
+	memoryTicker := time.NewTicker(memoryInterval)
+	defer memoryTicker.Stop()
 	for {
 		select {
+		case <-memoryTicker.C:
+			s.limitHeap()
 		case <-s.hostEnded:
 			err := s.hostErr
 			if err == nil {
@@ -156,7 +161,6 @@
 			}
 			return err
 		case <-ticker.C:
-			s.limitHeap()
 			s.logStats()
 			s.logNodes()
 		case sig := <-signals:
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -3,7 +3,11 @@
 // before they accept, dial or buffer.
 package limits
 
-import "time"
+import (
+	"time"
+
+	"eiderhold/internal/buffer"
+)
 
 // The division of descriptors. Clients need at most a third of them for requests; their share is larger to leave room for
 // connections without a request.
@@ -26,12 +30,13 @@
 
 // What a host needs in any case.
 const (
-	reserveFraction = 0.05    // of the limit: for what the runtime does not count, until it is measured again
+	reserveFraction = 0.15    // of the limit: for what the runtime does not count, and for what it takes beyond its limit
 	leastHeap       = 0.3     // of the limit: collecting for less would take most of the processor
 	leastNames      = 1 << 10 // volumes of usual clients at a time
 	leastIDs        = 6 << 10 // requests in the 6 s for which an id is remembered, at several times the usual rate
 	leastRequests   = 64      // open at a time
-	leastListBytes  = 2 << 20 // some thousand nodes
+	leastListBytes  = 5 << 20 // the 3,200 nodes of the largest fleet
+	recycledBytes   = buffer.MaxRecycledBytes
 )
 
 // Memory is the memory of a process at a time.
@@ -67,7 +72,7 @@
 // Divide divides the descriptors, and the memory that is left at the start, before the host serves.
 func Divide(descriptors int, memory Memory, sizes ItemSizes) Split {
 	conns := max(8, descriptors-reservedDescriptors)
-	free := max(1, memory.HeapBytes()-memory.Runtime)
+	free := max(1, memory.HeapBytes()-memory.Runtime-recycledBytes)
 	part := func(fraction float64) int64 { return int64(fraction * float64(free)) }
 	return Split{
 		ClientConns:  max(2, int(clientsFraction*float64(conns))),
