front/http, loop: a crowd of large incomplete requests takes less of each turn

Cause, by a profile: at the limit each 16 KiB that came had all connections looked through for one to discard; and what a discarded client went on sending was copied 16 KiB a turn, up to 1 MiB each.

Change: discarding goes on to an eighth below the limit (limits.AfterReclaim). During a graceful close the kernel discards what has arrived, without a copy (recv with MSG_TRUNC).

--- a/internal/front/http/memory.go
+++ b/internal/front/http/memory.go
@@ -1,7 +1,9 @@
 package http
 
 import (
+	"cmp"
 	"math/bits"
+	"slices"
 
 	"eiderhold/internal/host"
 	"eiderhold/limits"
@@ -58,22 +60,29 @@
 }
 
 // reclaimHeld keeps the bytes of requests within the limit. It discards incomplete requests, those that have kept the most
-// bytes for the longest time first.
+// bytes for the longest time first, until there is room for some more: with hundreds of them looking for one at a time would
+// take long.
 func (f *Front) reclaimHeld() {
+	if f.heldBytes <= f.opt.MaxRequestBytes {
+		return
+	}
+	type candidate struct {
+		conn *conn
+		rank float64
+	}
 	now := f.opt.Host.Now()
-	for f.heldBytes > f.opt.MaxRequestBytes {
-		var worst *conn
-		worstRank := 0.0
-		for c := range f.conns {
-			if n := c.bufferedBytes(); n > 0 && !c.closing {
-				if rank := limits.MemoryRank(n, now-c.inputSince); worst == nil || rank > worstRank {
-					worst, worstRank = c, rank
-				}
-			}
+	var candidates []candidate
+	for c := range f.conns {
+		if n := c.bufferedBytes(); n > 0 && !c.closing {
+			candidates = append(candidates, candidate{c, limits.MemoryRank(n, now-c.inputSince)})
 		}
-		if worst == nil {
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.rank, a.rank) })
+	for _, candidate := range candidates {
+		if f.heldBytes <= limits.AfterReclaim(f.opt.MaxRequestBytes) {
 			return
 		}
+		worst := candidate.conn
 		f.stats.Shed++
 		f.events.Info("http front: an incomplete request is discarded for lack of memory", "conn", worst.number, "bytes", worst.bufferedBytes(),
 			"age", now-worst.inputSince, "held", f.heldBytes, "limit", f.opt.MaxRequestBytes)
--- a/internal/loop/close.go
+++ b/internal/loop/close.go
@@ -37,6 +37,19 @@
 	l.scheduleSweep()
 }
 
+// discardUnread discards what has arrived on a TCP socket, without copying it, and returns the number of bytes. A peer that
+// goes on sending a long message would otherwise take a part of each turn.
+func discardUnread(fd int) (n int) {
+	for n < maxLingerBytes {
+		got, _, errno := unix.Syscall6(unix.SYS_RECVFROM, uintptr(fd), 0, maxLingerBytes, unix.MSG_TRUNC|unix.MSG_DONTWAIT, 0, 0)
+		if errno != 0 || got == 0 { // none left, or the end, which the next read reports
+			return n
+		}
+		n += int(got)
+	}
+	return n
+}
+
 // advanceClose advances a graceful close as far as possible. It returns false once the connection is closed.
 func (l *Loop) advanceClose(g gnet.Conn, e *closing) bool {
 	if !e.writeClosed && g.OutboundBuffered() == 0 {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -186,7 +186,7 @@
 	m := g.Context().(*connState)
 	if e := m.closing; e != nil {
 		n, _ := g.Discard(-1)
-		e.discarded += n
+		e.discarded += n + discardUnread(g.Fd())
 		h.loop.advanceClose(g, e)
 		return gnet.None
 	}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -98,6 +98,12 @@
 	return float64(bytes) * max(age, leastAge).Seconds()
 }
 
+// AfterReclaim returns the bytes that may be held after some had to be given up for a limit.
+func AfterReclaim(limit int64) int64 {
+	const room = 8 // one part of the limit
+	return limit - limit/room
+}
+
 // RetryDelay is the retry delay given to a client that is refused for lack of room.
 const RetryDelay = 500 * time.Millisecond
 
@@ -175,6 +181,12 @@
 // nothing more on the connection. The cost is that clients reconnect for each request while places are short.
 func KeepAlive(used, capacity int) bool { return float64(used) < keepAliveOccupancy*float64(capacity) }
 
+// Evictions returns how many connections are evicted at a time when all places are in use.
+func Evictions(capacity int) int {
+	const oneOf = 16
+	return max(1, capacity/oneOf)
+}
+
 // EvictionRank orders connections for eviction when a new client connects and Decide frees no place: the highest rank
 // is closed first. may is false for a connection that must not be closed, such as one with an open request. Connections
 // that are being closed rank above those that have sent nothing, these above those between requests, and these above
