front/http: eviction frees several places, and spares a connection with a request

And it freed one place in a turn of the loop, so that a crowd waited in the kernel's queue with the usual clients in it.

Change: a connection that has served a request is passed over if bytes have arrived on it.

--- a/internal/front/http/accept.go
+++ b/internal/front/http/accept.go
@@ -1,12 +1,15 @@
 package http
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
+	"eiderhold/internal/loop"
 	"eiderhold/limits"
 )
 
@@ -87,22 +90,36 @@
 	return f.accepted, f.opt.MaxConns
 }
 
-// evictIfFull closes the connection with the highest eviction rank if all places are in use.
+// evictIfFull closes the connections with the highest eviction ranks if all places are in use. It frees several places of
+// many, as clients that wait in the kernel's queue would otherwise get one in each turn of a busy loop.
 func (f *Front) evictIfFull() {
-	if used, limit := f.usage(); used < limit {
+	used, limit := f.usage()
+	if used < limit {
 		return
 	}
+	type candidate struct {
+		conn *conn
+		rank float64
+	}
 	now := f.opt.Host.Now()
-	var worst *conn
-	worstRank := 0.0
+	var candidates []candidate
 	for c := range f.conns {
-		if rank, evictable := limits.EvictionRank(now, c.state()); evictable && (worst == nil || rank > worstRank) {
-			worst, worstRank = c, rank
+		if rank, evictable := limits.EvictionRank(now, c.state()); evictable {
+			candidates = append(candidates, candidate{c, rank})
 		}
 	}
-	if worst != nil {
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.rank, a.rank) })
+	evicted := 0
+	for _, c := range candidates {
+		if evicted == limits.Evictions(limit) {
+			return
+		}
+		if c.conn.hadRequest && !c.conn.closing && loop.HasUnread(c.conn.g) {
+			continue // its next request has arrived
+		}
+		evicted++
 		f.stats.Evicted++
-		f.opt.Loop.Close(worst.g) // at once: its place is needed
+		f.opt.Loop.Close(c.conn.g) // at once: its place is needed
 	}
 }
 
