loop: input of a closing connection is discarded into a buffer

Cause: the call passed no buffer. Linux does not write to one with MSG_TRUNC on TCP, but a layer below the program that does not know the flag would write to address 0. Found on rereading, not seen.

Change: 32 KiB that are not read; without the flag's effect the call is a plain read.

--- a/internal/loop/close.go
+++ b/internal/loop/close.go
@@ -39,13 +39,13 @@
 
 // discardUnread discards what has arrived on a TCP socket, without copying it, and returns the number of bytes. A peer that
 // goes on sending a long message would otherwise take a part of each turn.
-func discardUnread(fd int) (n int) {
+func (l *Loop) discardUnread(fd int) (n int) {
 	for n < maxLingerBytes {
-		got, _, errno := unix.Syscall6(unix.SYS_RECVFROM, uintptr(fd), 0, maxLingerBytes, unix.MSG_TRUNC|unix.MSG_DONTWAIT, 0, 0)
-		if errno != 0 || got == 0 { // none left, or the end, which the next read reports
+		got, _, err := unix.Recvfrom(fd, l.discarded[:], unix.MSG_TRUNC|unix.MSG_DONTWAIT)
+		if err != nil || got == 0 { // none left, or the end, which the next read reports
 			return n
 		}
-		n += int(got)
+		n += got
 	}
 	return n
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -23,6 +23,9 @@
 // begins to keep what a connection does not take at once.
 const bufferBytes = 16 << 10
 
+// discardBytes is what is discarded with one call from a connection that is closing.
+const discardBytes = 32 << 10
+
 // Peer handles the events of a connection for its owner. Its methods run on the loop.
 type Peer interface {
 	Opened(gnet.Conn) // the connection may be written to from now on
@@ -48,6 +51,7 @@
 	// The fields below are used on the loop only.
 	closing        map[gnet.Conn]*closing
 	sweepScheduled bool // a timer for the next sweep is running
+	discarded      [discardBytes]byte
 }
 
 // Start starts an event loop.
@@ -186,7 +190,7 @@
 	m := g.Context().(*connState)
 	if e := m.closing; e != nil {
 		n, _ := g.Discard(-1)
-		e.discarded += n + discardUnread(g.Fd())
+		e.discarded += n + h.loop.discardUnread(g.Fd())
 		h.loop.advanceClose(g, e)
 		return gnet.None
 	}
