front/http, backend/http: ranking, writing, unsent memory stand once; fewer allocations

Change: loop.Write, CombinedBytes and UnsentMemory; Front.ranked. The check of the client is made once for a connection, class and plan are looked up without a copy, volume and item share one.

--- a/cmd/eiderhold/fault_test.go
+++ b/cmd/eiderhold/fault_test.go
@@ -119,6 +119,9 @@
 			for _, b := range s.Broken() {
 				t.Error(b)
 			}
+			if t.Failed() {
+				t.Log(s.Host.Log.Lines(`"msg":"stats"`))
+			}
 		})
 	}
 }
--- a/internal/backend/http/backend.go
+++ b/internal/backend/http/backend.go
@@ -35,7 +35,6 @@
 	sweepInterval      = 250 * time.Millisecond // between checks for idle connections
 	defaultDialTimeout = time.Second            // so that a dial that never completes frees its place in the pool
 	requestHeadBytes   = 256                    // enough for the head of a usual request, without its target
-	maxCombinedBody    = 4 << 10                // a shorter body is copied behind the head
 )
 
 // Settings configure a Backend and bound its connections and memory.
@@ -288,7 +287,7 @@
 
 // clientPresent reports whether the client of the attempt's request still waits for the answer.
 func (a *attempt) clientPresent() bool {
-	return !a.Request.Abandoned() && (a.Request.Present == nil || a.Request.Present())
+	return !a.Request.Abandoned() && (a.Request.Present == nil || a.Request.Present(a.Request))
 }
 
 // rejectReason returns why a waiting attempt may no longer be sent; empty if it may. It is evaluated right before
@@ -440,7 +439,7 @@
 	c.attempt, a.conn = a, c
 	c.progress, c.response = outcome.NotBegun, responseReader{}
 	remaining := max(1, a.remaining().Milliseconds())
-	buf := make([]byte, 0, requestHeadBytes+len(m.Target)+combinedBytes(m.Body))
+	buf := make([]byte, 0, requestHeadBytes+len(m.Target)+loop.CombinedBytes(m.Body))
 	buf = http1.AppendRequestLine(buf, m.Method, m.Target)
 	buf = http1.AppendField(buf, "Host", c.b.settings.HostHeader)
 	buf = http1.AppendField(buf, "Request-Id", m.ID)
@@ -451,7 +450,7 @@
 	if len(m.Body) > 0 || m.Method != "GET" {
 		buf = http1.AppendIntField(buf, "Content-Length", int64(len(m.Body)))
 	}
-	if err := c.write(http1.AppendEnd(buf), m.Body); err != nil || c.closed {
+	if err := loop.Write(c.g, http1.AppendEnd(buf), m.Body); err != nil || c.closed {
 		return // Closed has reported it: no byte was written
 	}
 	c.b.stats.Written++
@@ -466,25 +465,6 @@
 	}
 }
 
-// combinedBytes returns how many bytes of a body are copied behind the head of its request: a long one is not copied.
-func combinedBytes(body []byte) int {
-	if len(body) < maxCombinedBody {
-		return len(body)
-	}
-	return 0
-}
-
-// write writes the head and the body of a request with one call.
-func (c *conn) write(head, body []byte) error {
-	var err error
-	if len(body) < maxCombinedBody {
-		_, err = c.g.Write(append(head, body...))
-	} else {
-		_, err = c.g.Writev([][]byte{head, body})
-	}
-	return err
-}
-
 // Traffic reads bytes of a response.
 func (c *conn) Traffic(g gnet.Conn) gnet.Action {
 	p, err := g.Next(-1)
--- a/internal/backend/http/memory.go
+++ b/internal/backend/http/memory.go
@@ -2,16 +2,12 @@
 
 import (
 	"fmt"
-	"math/bits"
 
 	"eiderhold/internal/host"
+	"eiderhold/internal/loop"
 	"eiderhold/outcome"
 )
 
-// outputBufferBytes is what the event loop allocates for a connection that does not take a request at once, beside the rest
-// of the request.
-const outputBufferBytes = 16 << 10
-
 // memory returns the bytes that requests and responses take here, as allocated.
 func (b *Backend) memory() int64 { return b.heldBytes + b.passedBytes.Load() }
 
@@ -22,10 +18,7 @@
 func (c *conn) updateHeldBytes() {
 	n := 0
 	if !c.closed {
-		n = c.response.heldBytes()
-		if unsent := c.g.OutboundBuffered(); unsent > 0 { // in a buffer whose size is a power of two
-			n += outputBufferBytes + 1<<bits.Len(uint(unsent-1))
-		}
+		n = c.response.heldBytes() + loop.UnsentMemory(c.g.OutboundBuffered())
 	}
 	c.b.heldBytes += int64(n - c.heldBytes)
 	c.heldBytes = n
--- a/internal/backend/http/memory_test.go
+++ b/internal/backend/http/memory_test.go
@@ -88,7 +88,7 @@
 	r := newHarness(t, 1, n.Addr())
 	for _, present := range []bool{true, false, true} {
 		r.next++
-		q := &host.Request{Message: &http1.Message{Method: "GET", Target: "/", ID: "0123456789abcdef"}, Present: func() bool { return present }}
+		q := &host.Request{Message: &http1.Message{Method: "GET", Target: "/", ID: "0123456789abcdef"}, Present: func(*host.Request) bool { return present }}
 		r.Send(host.Attempt{Ref: r.next, Node: "a", Remaining: 5 * time.Second, Request: q})
 		want := control.Done
 		if !present {
--- a/internal/front/http/accept.go
+++ b/internal/front/http/accept.go
@@ -1,11 +1,9 @@
 package http
 
 import (
-	"cmp"
 	"errors"
 	"net"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
@@ -97,29 +95,19 @@
 	if used < limit {
 		return
 	}
-	type candidate struct {
-		conn *conn
-		rank float64
-	}
 	now := f.opt.Host.Now()
-	var candidates []candidate
-	for c := range f.conns {
-		if rank, evictable := limits.EvictionRank(now, c.state()); evictable {
-			candidates = append(candidates, candidate{c, rank})
-		}
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.rank, a.rank) })
+	evictable := f.ranked(func(c *conn) (float64, bool) { return limits.EvictionRank(now, c.state()) })
 	evicted := 0
-	for _, c := range candidates {
+	for _, c := range evictable {
 		if evicted == limits.Evictions(limit) {
 			return
 		}
-		if c.conn.hadRequest && !c.conn.closing && loop.HasUnread(c.conn.g) {
+		if c.hadRequest && !c.closing && loop.HasUnread(c.g) {
 			continue // its next request has arrived
 		}
 		evicted++
 		f.stats.Evicted++
-		f.opt.Loop.Close(c.conn.g) // at once: its place is needed
+		f.opt.Loop.Close(c.g) // at once: its place is needed
 	}
 }
 
--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -6,13 +6,11 @@
 
 	"eiderhold/internal/host"
 	"eiderhold/internal/http1"
+	"eiderhold/internal/loop"
 	"eiderhold/limits"
 )
 
-const (
-	answerHeadBytes = 192     // enough for the head of any answer
-	maxCombinedBody = 4 << 10 // a shorter body is copied behind the head
-)
+const answerHeadBytes = 192 // enough for the head of any answer
 
 // deliver writes the host's final answer to the client.
 func (c *conn) deliver(r *host.Request, a host.Answer) {
@@ -60,11 +58,7 @@
 // respond writes one answer and closes the connection if no further request is served on it.
 func (c *conn) respond(status int, retryAfter string, body []byte) {
 	closeConn := c.closeAfter || c.discarding || c.f.draining || !c.f.keepAlive && !limits.KeepAlive(c.f.usage())
-	size := answerHeadBytes
-	if len(body) < maxCombinedBody {
-		size += len(body)
-	}
-	head := make([]byte, 0, size)
+	head := make([]byte, 0, answerHeadBytes+loop.CombinedBytes(body))
 	head = http1.AppendStatus(head, status)
 	head = http1.AppendIntField(head, "Content-Length", int64(len(body)))
 	if retryAfter != "" {
@@ -73,7 +67,7 @@
 	if closeConn {
 		head = http1.AppendField(head, "Connection", "close")
 	}
-	if err := c.write(http1.AppendEnd(head), body); err != nil || c.closed {
+	if err := loop.Write(c.g, http1.AppendEnd(head), body); err != nil || c.closed {
 		return
 	}
 	c.stateSince = c.f.opt.Host.Now()
@@ -85,14 +79,3 @@
 	}
 	c.flushing = c.g.OutboundBuffered() > 0
 }
-
-// write writes the head and the body of an answer with one call. A long body is not copied.
-func (c *conn) write(head, body []byte) error {
-	var err error
-	if len(body) < maxCombinedBody {
-		_, err = c.g.Write(append(head, body...))
-	} else {
-		_, err = c.g.Writev([][]byte{head, body})
-	}
-	return err
-}
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -49,8 +49,9 @@
 	closing    bool                // being closed: no requests are read from it
 	closed     bool
 	openedAt   time.Duration
-	stateSince time.Duration // when the connection began to receive, to write or to wait
-	inputSince time.Duration // when the oldest bytes that are held of incomplete requests came
+	isPresent  func(*host.Request) bool // present, made once
+	stateSince time.Duration            // when the connection began to receive, to write or to wait
+	inputSince time.Duration            // when the oldest bytes that are held of incomplete requests came
 }
 
 // evict closes a connection that sends no request or does not read its answer. If unread bytes have arrived on it
@@ -85,7 +86,7 @@
 
 // Opened registers a new connection.
 func (c *conn) Opened(g gnet.Conn) {
-	c.g = g
+	c.g, c.isPresent = g, c.present
 	c.openedAt = c.f.opt.Host.Now()
 	c.stateSince = c.openedAt
 	c.f.opened++
@@ -365,7 +366,7 @@
 	}
 	f.stats.Requests++
 	r.Answer = func(a host.Answer) { f.opt.Loop.Post(func() { c.deliver(r, a) }) }
-	r.Present = func() bool { return c.present(r) }
+	r.Present = c.isPresent
 	hostID, err := f.opt.Host.Submit(r)
 	if err != nil { // nothing has run, so the client may retry
 		f.ids.EndUntaken(requestID)
--- a/internal/front/http/memory.go
+++ b/internal/front/http/memory.go
@@ -2,17 +2,13 @@
 
 import (
 	"cmp"
-	"math/bits"
 	"slices"
 
 	"eiderhold/internal/host"
+	"eiderhold/internal/loop"
 	"eiderhold/limits"
 )
 
-// outputBufferBytes is what the event loop allocates for a connection that does not take an answer at once, beside the
-// rest of the answer.
-const outputBufferBytes = 16 << 10
-
 // requestMemory returns the bytes that a request takes in this process, as allocated; nil: none.
 func requestMemory(r *host.Request) int {
 	if r == nil {
@@ -21,15 +17,6 @@
 	return limits.RequestOverhead + len(r.Message.Target) + len(r.Message.Key) + cap(r.Message.Body)
 }
 
-// unsentMemory returns the bytes that the event loop takes for n bytes which a connection has not taken: it keeps them in
-// a buffer whose size is a power of two.
-func unsentMemory(n int) int {
-	if n == 0 {
-		return 0
-	}
-	return outputBufferBytes + 1<<bits.Len(uint(n-1))
-}
-
 // bufferedBytes returns how many bytes incomplete requests of the connection take, as allocated.
 func (c *conn) bufferedBytes() int {
 	n := c.buf.Allocated() + cap(c.chunkData) + requestMemory(c.pending)
@@ -52,7 +39,7 @@
 func (c *conn) updateUnsent() {
 	n := 0
 	if !c.closed {
-		n = unsentMemory(c.g.OutboundBuffered())
+		n = loop.UnsentMemory(c.g.OutboundBuffered())
 	}
 	c.f.unsentBytes += int64(n - c.unsent)
 	c.unsent = n
@@ -66,23 +53,15 @@
 	if f.heldBytes <= f.opt.MaxRequestBytes {
 		return
 	}
-	type candidate struct {
-		conn *conn
-		rank float64
-	}
 	now := f.opt.Host.Now()
-	var candidates []candidate
-	for c := range f.conns {
-		if n := c.bufferedBytes(); n > 0 && !c.closing {
-			candidates = append(candidates, candidate{c, limits.MemoryRank(n, now-c.inputSince)})
-		}
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.rank, a.rank) })
-	for _, candidate := range candidates {
+	holders := f.ranked(func(c *conn) (rank float64, ok bool) {
+		n := c.bufferedBytes()
+		return limits.MemoryRank(n, now-c.inputSince), n > 0 && !c.closing
+	})
+	for _, worst := range holders {
 		if f.heldBytes <= limits.AfterReclaim(f.opt.MaxRequestBytes) {
 			return
 		}
-		worst := candidate.conn
 		f.stats.Shed++
 		f.events.Info("http front: an incomplete request is discarded for lack of memory", "conn", worst.number, "bytes", worst.bufferedBytes(),
 			"age", now-worst.inputSince, "held", f.heldBytes, "limit", f.opt.MaxRequestBytes)
@@ -102,18 +81,15 @@
 // reclaimUnsent keeps the bytes of unsent answers within the limit, beside the answer that has just been written to c. It
 // closes the connections that have kept the most bytes for the longest time.
 func (f *Front) reclaimUnsent(c *conn) {
+	if f.unsentBytes <= f.opt.MaxUnsentBytes {
+		return
+	}
 	now := f.opt.Host.Now()
-	for f.unsentBytes > f.opt.MaxUnsentBytes {
-		var worst *conn
-		worstRank := 0.0
-		for o := range f.conns {
-			if o != c && o.unsent > 0 {
-				if rank := limits.MemoryRank(o.unsent, now-o.stateSince); worst == nil || rank > worstRank {
-					worst, worstRank = o, rank
-				}
-			}
-		}
-		if worst == nil {
+	holders := f.ranked(func(o *conn) (rank float64, ok bool) {
+		return limits.MemoryRank(o.unsent, now-o.stateSince), o != c && o.unsent > 0
+	})
+	for _, worst := range holders {
+		if f.unsentBytes <= f.opt.MaxUnsentBytes {
 			return
 		}
 		f.stats.Unread++
@@ -122,3 +98,17 @@
 		f.opt.Loop.Close(worst.g)
 	}
 }
+
+// ranked returns the connections for which rank returns true, the highest rank first.
+func (f *Front) ranked(rank func(*conn) (float64, bool)) []*conn {
+	ranks := map[*conn]float64{}
+	var found []*conn
+	for c := range f.conns {
+		if n, ok := rank(c); ok {
+			ranks[c] = n
+			found = append(found, c)
+		}
+	}
+	slices.SortFunc(found, func(a, b *conn) int { return cmp.Compare(ranks[b], ranks[a]) })
+	return found
+}
--- a/internal/front/http/present_test.go
+++ b/internal/front/http/present_test.go
@@ -31,7 +31,7 @@
 			q := <-r.host.submitted
 			resume := r.pause()
 			got := make(chan bool)
-			r.opt.Loop.Post(func() { got <- q.Present() })
+			r.opt.Loop.Post(func() { got <- q.Present(q) })
 			c.leave(client)
 			resume()
 			if present := <-got; present != c.present {
@@ -42,7 +42,7 @@
 			}
 			q.Answer(served("x"))
 			client.expect(200)
-			r.opt.Loop.Post(func() { got <- q.Present() })
+			r.opt.Loop.Post(func() { got <- q.Present(q) })
 			if <-got {
 				t.Fatal("present after the answer")
 			}
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -58,14 +58,15 @@
 	if !isHexID(m.ID) {
 		return nil, newRequestError(400, "Request-Id: expected %d hexadecimal digits, once", idDigits)
 	}
-	className, planName := h.Header.SingleValue("Request-Class"), h.Header.SingleValue("X-Storage-Class")
-	class, known := rs.classes[className]
+	className := h.Header.Single("Request-Class")
+	class, known := rs.classes[string(className)]
 	if !known {
-		return nil, newRequestError(400, "Request-Class %q: not in the settings", truncate(className))
+		return nil, newRequestError(400, "Request-Class %q: not in the settings", truncate(string(className)))
 	}
 	r.Class = class.Name
-	if r.Plan, known = rs.plans[planName]; !known {
-		return nil, newRequestError(400, "X-Storage-Class %q: not in the settings", truncate(planName))
+	planName := h.Header.Single("X-Storage-Class")
+	if r.Plan, known = rs.plans[string(planName)]; !known {
+		return nil, newRequestError(400, "X-Storage-Class %q: not in the settings", truncate(string(planName)))
 	}
 	want := "GET"
 	if class.Writes {
@@ -138,12 +139,13 @@
 	if !strings.HasPrefix(path, "/") {
 		return "", "", newRequestError(400, "target %q: expected a path", truncate(target))
 	}
-	path, item = path[:strings.LastIndexByte(path, '/')], path[strings.LastIndexByte(path, '/')+1:]
-	volume = path[strings.LastIndexByte(path, '/')+1:]
-	if !isHexID(volume) || !isHexID(item) {
+	const namesBytes = 2*idDigits + 1
+	names := strings.Clone(path[max(0, len(path)-namesBytes):])
+	volume, item, _ = strings.Cut(names, "/")
+	if !isHexID(volume) || !isHexID(item) || len(path) == namesBytes || path[len(path)-namesBytes-1] != '/' {
 		return "", "", newRequestError(404, "path %q: expected a volume and an item of %d hexadecimal digits", truncate(target), idDigits)
 	}
-	return strings.Clone(volume), strings.Clone(item), nil
+	return volume, item, nil
 }
 
 func parseTimeout(s string) (time.Duration, error) {
--- a/internal/host/request.go
+++ b/internal/host/request.go
@@ -50,7 +50,7 @@
 
 	// Present reports whether the client still waits for the answer. The backend calls it on the loop of its connections,
 	// right before an attempt's first byte. nil: Abandoned tells all that is known.
-	Present func() bool
+	Present func(*Request) bool
 
 	abandoned atomic.Bool
 	begun     atomic.Bool
--- a/internal/http1/buffer.go
+++ b/internal/http1/buffer.go
@@ -2,7 +2,7 @@
 
 import "eiderhold/internal/buffer"
 
-const minCapacity = 512
+const minCapacity = 256
 
 // Append appends p to dst, which nothing else may refer to: if it has to grow, its former memory is used again. most is the
 // largest length that is expected. Buffers of incomplete messages are held for long, and in numbers, so that the spare
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -58,11 +58,14 @@
 }
 
 // SingleValue returns the value of a field that occurs exactly once, otherwise the empty string.
-func (h Header) SingleValue(name string) string {
+func (h Header) SingleValue(name string) string { return string(h.Single(name)) }
+
+// Single is SingleValue without a copy: the value refers to the bytes of the header.
+func (h Header) Single(name string) []byte {
 	if v, times := h.Get(name); times == 1 {
-		return string(v)
+		return v
 	}
-	return ""
+	return nil
 }
 
 // equalFold reports whether b and s are equal, ignoring the case of ASCII letters.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -268,6 +268,17 @@
 	return l.b.String()
 }
 
+// Lines returns the lines that contain a text.
+func (l *Log) Lines(text string) string {
+	var found []string
+	for line := range strings.Lines(l.Text()) {
+		if strings.Contains(line, text) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "")
+}
+
 // WaitFor waits until the log contains a text.
 func (l *Log) WaitFor(text string) {
 	for {
