limits, live: a heap with little room is collected at half of the usual growth

Cause: the limit of the Go runtime is soft, and the buffers in which the event loop keeps unsent answers are given up to pools that the collector empties only in its second run.

Change: limits.Memory.GCPercent is 50 where less than 32 MB are free, else 100 as before.

--- a/internal/live/memory.go
+++ b/internal/live/memory.go
@@ -36,4 +36,8 @@
 
 // limitHeap sets the limit of the Go runtime by the memory that it does not count. That grows as the program uses further
 // pages of its file, so the limit is set again from time to time.
-func (s *Server) limitHeap() { debug.SetMemoryLimit(memory(s.memoryLimit).HeapBytes()) }
+func (s *Server) limitHeap() {
+	m := memory(s.memoryLimit)
+	debug.SetMemoryLimit(m.HeapBytes())
+	debug.SetGCPercent(m.GCPercent())
+}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -53,6 +53,19 @@
 	return max(int64(leastHeap*float64(m.Limit)), m.Limit-(m.Resident-m.Runtime)-reserve)
 }
 
+// GCPercent returns how much a heap may grow between two collections, in percent. Where little is free, it is half of the
+// usual: the limit of the runtime is soft, and garbage of long messages would pass it before a collection ends.
+func (m Memory) GCPercent() int {
+	const (
+		usual, tight = 100, 50
+		tightBelow   = 32 << 20 // bytes free
+	)
+	if m.HeapBytes()-m.Runtime < tightBelow {
+		return tight
+	}
+	return usual
+}
+
 // Split is a division of the resources of a process.
 type Split struct {
 	ClientConns  int   // connections from clients
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -22,6 +22,9 @@
 		if resident := c.memory.Resident - c.memory.Runtime + c.memory.HeapBytes(); resident >= c.memory.Limit {
 			t.Errorf("%+v: %d bytes resident", c, resident)
 		}
+		if tight := c.memory.Limit < 48<<20; tight != (c.memory.GCPercent() < 100) {
+			t.Errorf("%+v: the heap may grow by %d%%", c, c.memory.GCPercent())
+		}
 		held := recycledBytes + s.ListBytes + s.RequestBytes + s.AnswerBytes + s.UnsentBytes + int64(s.MaxNames*sizes.Name+s.MaxIDs*sizes.ID+(s.ClientConns+s.NodeConns)*connBytes)
 		if free := c.memory.HeapBytes() - c.memory.Runtime; held > free || s.MaxRequests < c.descriptors/3 {
 			t.Errorf("%+v: %d bytes of %d free: %+v", c, held, free, s)
