front/http: the body of a request whose client has left is given up at once

Cause: after the close the bytes of the request no longer counted, but its body stayed with the request until its last attempt ended, 3 s at a node that hangs where attempts are not called off. Found on rereading, not seen: a client that sends 1 MiB and leaves, again and again.

Change: conn.Closed drops the body. No attempt of an abandoned request begins, and one that has begun has its own copy of what is unsent.

Measured: TestClientLeaves fails without it (11 bytes kept).

--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -105,6 +105,7 @@
 	if c.req != nil {
 		f.stats.Left++
 		c.req.Abandon()
+		c.req.Message.Body = nil // no attempt begins any more, and those that have begun may last
 		f.opt.Host.ClientGone(c.hostID)
 		if c.req.Begun() {
 			f.ids.EndBegun(c.requestID)
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -450,12 +450,17 @@
 		t.Run(name, func(t *testing.T) {
 			r := newHarness(t, 10)
 			c := r.dial()
-			c.send(get(id(1)))
+			c.send(put(id(1)) + plainBody)
 			req := <-r.host.submitted
 			leave(c)
 			if got := <-r.host.left; got != 1 || !req.Abandoned() {
 				t.Fatalf("the client of request %d has gone, abandoned: %v", got, req.Abandoned())
 			}
+			r.do(func() {
+				if n := len(req.Message.Body); n > 0 {
+					t.Errorf("%d bytes of its body are kept", n)
+				}
+			})
 			r.waitEmpty()
 			if len(r.host.submitted) != 0 {
 				t.Fatal("a request that was not read was submitted")
