--- a/internal/buffer/recycle.go
+++ b/internal/buffer/recycle.go
@@ -21,6 +21,13 @@
 	free  [maxRecycledBits + 1][][]byte // by the logarithm of their capacity
 }
 
+// Waiting returns the number of bytes that wait to be used again.
+func Waiting() int {
+	recycled.mu.Lock()
+	defer recycled.mu.Unlock()
+	return recycled.bytes
+}
+
 // Allocate returns a slice of length 0 that holds n bytes without growing. Its capacity is a power of two if it is recycled
 // later.
 func Allocate(n int) []byte {
--- a/internal/buffer/recycle_test.go
+++ b/internal/buffer/recycle_test.go
@@ -17,8 +17,8 @@
 	for range 10 {
 		Recycle(make([]byte, 0, 1<<20))
 	}
-	if recycled.bytes > MaxRecycledBytes {
-		t.Errorf("%d bytes wait, %d allowed", recycled.bytes, MaxRecycledBytes)
+	if n := Waiting(); n > MaxRecycledBytes {
+		t.Errorf("%d bytes wait, %d allowed", n, MaxRecycledBytes)
 	}
 	if small := Allocate(100); cap(small) != 100 {
 		t.Errorf("a capacity of %d for a small slice", cap(small))
