front/http: connections are numbered as they are accepted, not as the loop takes them

Cause: the id of a request whose client has left before an attempt began is released for connections opened since. Connections got their numbers when the loop took them, and up to 32 wait for that since: one with a copy that was accepted before the owner left counted as later. One could wait so before.

Change: the number is drawn right after accept.

The case that remains, a copy in the kernel's queue, is in docs/design/live.md.

--- a/internal/front/http/accept.go
+++ b/internal/front/http/accept.go
@@ -26,7 +26,7 @@
 		if !f.reservePlace() {
 			return
 		}
-		c, err := f.ln.Accept()
+		raw, err := f.ln.Accept()
 		if err != nil {
 			f.releasePlace()
 			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
@@ -38,10 +38,11 @@
 			continue
 		}
 		pause = time.Millisecond
+		c := &conn{f: f, number: f.connections.Add(1)}
 		adding <- struct{}{}
 		added.Add(1)
 		go func() {
-			f.add(c)
+			f.add(raw, c)
 			<-adding
 			added.Done()
 		}()
@@ -49,8 +50,8 @@
 }
 
 // add adds an accepted connection to the event loop.
-func (f *Front) add(c net.Conn) {
-	if err := f.opt.Loop.Add(c, &conn{f: f}); err != nil {
+func (f *Front) add(raw net.Conn, c *conn) {
+	if err := f.opt.Loop.Add(raw, c); err != nil {
 		f.releasePlace()
 		f.opt.Log.Warn("http front: cannot add a connection to the event loop", "err", err)
 	}
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -25,7 +25,7 @@
 type conn struct {
 	f          *Front
 	g          gnet.Conn
-	number     uint64 // in the order in which connections were opened, from 1
+	number     uint64 // in the order in which connections were accepted, from 1
 	buf        http1.Buffer
 	scanned    int           // bytes of buf already searched for the end of a head
 	headParsed bool          // the head of the present request is complete, its body may not be
@@ -89,8 +89,6 @@
 	c.g, c.isPresent = g, c.present
 	c.openedAt = c.f.opt.Host.Now()
 	c.stateSince = c.openedAt
-	c.f.opened++
-	c.number = c.f.opened
 	c.f.conns[c] = true
 	c.f.stats.Accepted++
 }
@@ -110,7 +108,7 @@
 		if c.req.Begun() {
 			f.ids.EndBegun(c.requestID)
 		} else {
-			f.ids.Release(c.requestID, f.opened)
+			f.ids.Release(c.requestID, f.connections.Load())
 		}
 		c.requestDone()
 	}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,8 @@
 	cancel     context.CancelFunc // stops the periodic sweep
 	background sync.WaitGroup
 
+	connections atomic.Uint64 // accepted since the start
+
 	mu       sync.Mutex // guards accepted and closing
 	changed  *sync.Cond
 	accepted int  // connections accepted and not yet closed, one being accepted included
@@ -66,7 +69,6 @@
 	// The remaining fields are accessed only on the loop.
 	conns          map[*conn]bool
 	ids            *requestid.Tracker
-	opened         uint64  // connections opened since the start
 	ready          []*conn // with further requests to read, see schedule
 	roundScheduled bool
 	heldBytes      int64 // of requests
